--- a/src/benchlink/host.h
+++ b/src/benchlink/host.h
@@ -9,10 +9,13 @@
 
 #include "codec.h"
 #include "nettletrestle/router.h"
-#include "settings.h"
+#include "settings/settings.h"
 
 namespace benchlink {
 
+using sloestack::settings::InstanceSettings;
+using sloestack::settings::parse_settings;
+
 class Host {
 public:
     // Takes one whole batch frame, header included, and returns the whole reply frame.
--- /dev/null
+++ b/src/clients/door.h
@@ -0,0 +1,51 @@
+// Where clients come in: the listener and all the sessions.
+#pragma once
+
+#include <list>
+#include <map>
+#include <memory>
+
+#include "clients/session.h"
+#include "net/quota.h"
+
+namespace sloestack::clients {
+
+class Door final : private SessionOwner {
+public:
+    Door(net::Loop& loop, Deadlines& deadlines, net::Quota& quota, net::Quota& overflow,
+         const sockaddr_in& at, traffic::Desk& desk, std::vector<std::string> class_names,
+         bool sessions_named);
+    ~Door();
+
+    // Closes down in order: new clients are still served for a while, each connection is closed between its
+    // requests, and over() holds once the last answer has left.
+    void stop();
+    bool over() const { return stopped_ && sessions_.empty(); }
+    std::uint16_t port() const { return listener_->port(); }
+    std::size_t sessions() const { return sessions_.size(); }
+
+private:
+    using Sessions = std::list<std::unique_ptr<Session>>;
+
+    void accepted(evutil_socket_t fd);
+    void out_of_descriptors();
+    bool close_an_idle_session();
+    void close_idle_sessions();
+    void stop_listening();
+    void used(Session& session) override;
+    void over(Session& session) override;
+
+    net::Loop& loop_;
+    Deadlines& deadlines_;
+    net::Quota& quota_;
+    net::Quota& overflow_;
+    Office office_;
+    Sessions sessions_;  // the one used last at the back
+    std::map<const Session*, Sessions::iterator> places_;
+    std::unique_ptr<net::Listener> listener_;
+    Deadline resume_, stop_;
+    Time accepted_at_ = 0;
+    bool stopped_ = false;
+};
+
+}  // namespace sloestack::clients
--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,36 @@
+// What the program is told at its start: the EDGE_* variables and the JSON file that EDGE_CONFIG names.
+#pragma once
+
+#include <netinet/in.h>
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <string>
+
+#include "settings/settings.h"
+
+namespace sloestack::config {
+
+// One line that names the key at fault.
+struct BadConfig : std::runtime_error {
+    BadConfig(const std::string& key, const std::string& why) : std::runtime_error(key + ": " + why) {}
+};
+
+struct Config {
+    std::string name;
+    sockaddr_in listen{}, discovery{};
+    std::string discovery_host;
+    std::uint64_t seed = 0;
+    int sockets = 0;
+    nlohmann::json known;  // the list of members as this proxy last had it; may be null
+    settings::InstanceSettings settings;
+};
+
+// Where a variable and the file both tell something, the variable counts. Throws BadConfig.
+Config load(const char* (*variable)(const char* name));
+Config load_from_environment();
+// The nested settings as the simulator's path=value lines.
+std::string flatten(const nlohmann::json& settings);
+
+}  // namespace sloestack::config
--- /dev/null
+++ b/src/deadlines/clock.h
@@ -0,0 +1,27 @@
+// The program's only clock: Unix microseconds that never go back. Wall time is read once, at start-up, and
+// carried on by the monotonic clock, so that a step of the system's clock moves no deadline.
+#pragma once
+
+#include <chrono>
+
+#include "nettletrestle/router.h"
+
+namespace sloestack {
+
+using nettletrestle::Micros;
+using nettletrestle::Time;
+
+class Clock {
+public:
+    Time now() const { return anchor_ + micros(std::chrono::steady_clock::now() - started_); }
+
+private:
+    template <class Duration>
+    static Micros micros(Duration d) {
+        return std::chrono::duration_cast<std::chrono::microseconds>(d).count();
+    }
+    std::chrono::steady_clock::time_point started_ = std::chrono::steady_clock::now();
+    Time anchor_ = micros(std::chrono::system_clock::now().time_since_epoch());
+};
+
+}  // namespace sloestack
--- /dev/null
+++ b/src/discovery/list.cpp
@@ -0,0 +1,72 @@
+#include "discovery/list.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace sloestack::discovery {
+namespace {
+
+using nettletrestle::ServerId;
+using nettletrestle::ServerState;
+
+ServerId first_choice(const std::string& name) {
+    // Names end in eight hexadecimal digits where they are made by machine.
+    if (name.size() >= 8) {
+        const auto tail = name.substr(name.size() - 8);
+        if (tail.find_first_not_of("0123456789abcdef") == std::string::npos)
+            return static_cast<ServerId>(std::stoul(tail, nullptr, 16));
+    }
+    std::uint32_t hash = 2166136261u;  // FNV-1a
+    for (const unsigned char c : name) hash = (hash ^ c) * 16777619u;
+    return hash;
+}
+
+ServerState state_of(const std::string& phase) {
+    if (phase == "in_service") return ServerState::ready;
+    if (phase == "terminating") return ServerState::draining;
+    if (phase == "terminated") return ServerState::gone;
+    throw std::runtime_error("unknown phase " + phase);
+}
+
+}  // namespace
+
+ServerId Numbers::of(const std::string& name) {
+    if (const auto known = by_name_.find(name); known != by_name_.end()) return known->second;
+    auto number = first_choice(name);
+    while (!by_number_.emplace(number, name).second) ++number;
+    return by_name_[name] = number;
+}
+
+traffic::Entry Reader::entry(const nlohmann::json& json) {
+    traffic::Entry out;
+    out.server.server = numbers_.of(json.at("id").get<std::string>());
+    out.server.state = state_of(json.at("phase").get<std::string>());
+    out.address = json.value("host_port", "");
+    out.server.group = json.value("cell", 0);
+    out.server.size = json.value("size", 1.0);
+    out.server.started_at = json.value("up_since_ms", std::int64_t{0}) * 1000;
+    out.server.listed_primary = json.value("role", "") == "primary";
+    const auto zone = std::find(zones_.begin(), zones_.end(), json.value("locality", ""));
+    out.server.zone = zone == zones_.end() ? -1 : static_cast<int>(zone - zones_.begin());
+    return out;
+}
+
+List Reader::read(const nlohmann::json& json) {
+    try {
+        List out;
+        out.revision = json.at("revision").get<std::int64_t>();
+        out.complete = json.at("complete").get<bool>();
+        for (const auto& member : json.at("members")) out.members.push_back(entry(member));
+        return out;
+    } catch (const nlohmann::json::exception& error) {
+        throw std::runtime_error(error.what());
+    }
+}
+
+List Reader::read(const std::string& text) {
+    const auto json = nlohmann::json::parse(text, nullptr, false);
+    if (json.is_discarded()) throw std::runtime_error("the list is not JSON");
+    return read(json);
+}
+
+}  // namespace sloestack::discovery
--- /dev/null
+++ b/src/discovery/watch.h
@@ -0,0 +1,48 @@
+// The watch on discovery's list: one call after the other for as long as they succeed.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "deadlines/deadlines.h"
+#include "discovery/list.h"
+#include "http/response.h"
+#include "net/connection.h"
+
+namespace sloestack::discovery {
+
+class Watch final : public net::ConnectionEvents {
+public:
+    Watch(net::Loop& loop, Deadlines& deadlines, const sockaddr_in& at, std::string host, Reader& lists,
+          std::int64_t revision, traffic::ListReader& reader);
+
+    // Starts the loop where it does not run. A failure ends it and is told to the reader, who decides when to
+    // ask again.
+    void start();
+
+    void connected() override;
+    void received() override;
+    void ended(net::Ending how) override;
+
+private:
+    void call();
+    void write_call();
+    void answered();
+    void failed(const std::string& why);
+
+    net::Loop& loop_;
+    Deadlines& deadlines_;
+    sockaddr_in at_;
+    std::string host_;
+    Reader& lists_;
+    std::int64_t revision_;
+    traffic::ListReader& reader_;
+    std::unique_ptr<net::Connection> connection_;
+    std::optional<http::ResponseParser> response_;  // there while a call is out
+    Deadline patience_;
+    bool running_ = false, up_ = false;
+    bool reused_ = false;  // the call went out on a connection that had served another
+};
+
+}  // namespace sloestack::discovery
--- /dev/null
+++ b/src/members/link.cpp
@@ -0,0 +1,107 @@
+#include "members/link.h"
+
+#include "invariant/invariant.h"
+#include "pgwire/build.h"
+
+namespace sloestack::members {
+namespace {
+
+constexpr std::size_t kMostUnread = pgwire::kLargestMessage + 1024;
+
+std::string sqlstate_in(std::string_view body) {
+    pgwire::Fields in(body);
+    while (!in.empty()) {
+        const auto field = in.byte();
+        if (field == 0) break;
+        const auto value = in.text();
+        if (field == 'C') return std::string(value);
+    }
+    return "XX000";
+}
+
+}  // namespace
+
+Link::Link(net::Loop& loop, const sockaddr_in& to, net::Slot slot, const User& user, LinkEvents& events)
+    : user_(user), events_(events), slot_(std::move(slot)) {
+    connection_ = net::Connection::open(loop, to, kMostUnread, *this);
+}
+
+void Link::connected() {
+    state_ = State::starting;
+    std::string out;
+    pgwire::Builder(out).startup(user_.name, user_.database);
+    connection_->write(out);
+}
+
+void Link::query(const std::string& statement) {
+    if (!SLOESTACK_INVARIANT(state_ == State::idle, "one query at a time on a link")) return;
+    state_ = State::busy;
+    reply_ = Reply();
+    std::string out;
+    out.reserve(statement.size() + 8);
+    pgwire::Builder(out).query(statement);
+    connection_->write(out);
+}
+
+void Link::start_up(const pgwire::Message& message) {
+    pgwire::Fields in(message.body);
+    if (message.type == 'R' && in.int32() != 0) throw pgwire::BadMessage("a member asks for a password");
+    if (message.type == 'E') sqlstate_ = sqlstate_in(message.body);
+    if (message.type != 'Z') return;
+    state_ = State::idle;
+    events_.link_ready(*this);
+}
+
+void Link::received() {
+    try {
+        // A callback may break the link or give it its next query, but never destroys it at once.
+        while (state_ != State::broken) {
+            const auto message = pgwire::next_message(connection_->unread());
+            if (!message) return;
+            if (state_ == State::starting) {
+                const auto size = message->size;
+                if (message->type == 'E') {
+                    start_up(*message);
+                    return broken();
+                }
+                const bool last = message->type == 'Z';
+                if (!last) start_up(*message);
+                connection_->consume(size);
+                if (last) start_up(pgwire::Message{'Z', {}, 0});
+                continue;
+            }
+            if (state_ == State::idle) {
+                // Notices and parameters may come at any time; anything else answers no query of ours.
+                if (message->type != 'S' && message->type != 'N') return broken();
+                connection_->consume(message->size);
+                continue;
+            }
+            const bool whole = reply_.take(*message);
+            connection_->consume(message->size);
+            if (!whole) continue;
+            state_ = State::idle;
+            auto reply = std::move(reply_);
+            events_.link_answered(*this, reply);
+        }
+    } catch (const pgwire::BadMessage&) {
+        broken();
+    }
+}
+
+void Link::close() {
+    state_ = State::broken;
+    deadline.clear();
+    connection_.reset();
+    slot_ = net::Slot();
+}
+
+void Link::ended(net::Ending) { broken(); }
+
+void Link::broken() {
+    if (state_ == State::broken) return;
+    // Told while the state still says whether a query was out and whether it may run.
+    events_.link_broken(*this, reply_, sqlstate_);
+    state_ = State::broken;
+}
+
+}  // namespace sloestack::members
--- /dev/null
+++ b/src/members/link.h
@@ -0,0 +1,65 @@
+// One connection to a member. It carries one query at a time and is never used again while an answer to an
+// earlier one may still come: whoever gives a query up destroys the link.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "deadlines/deadlines.h"
+#include "members/reply.h"
+#include "net/connection.h"
+#include "net/quota.h"
+
+namespace sloestack::members {
+
+class Link;
+
+class LinkEvents {
+public:
+    virtual void link_ready(Link& link) = 0;                   // up, and idle for the first time
+    virtual void link_answered(Link& link, Reply& reply) = 0;  // idle again
+    // The link is of no more use. `sqlstate` is what a member said that would not let it come up. Where the
+    // query had an outcome before the break, `reply` holds it.
+    virtual void link_broken(Link& link, Reply& reply, const std::string& sqlstate) = 0;
+
+protected:
+    ~LinkEvents() = default;
+};
+
+class Link final : public net::ConnectionEvents {
+public:
+    struct User {
+        std::string name, database;
+    };
+    Link(net::Loop& loop, const sockaddr_in& to, net::Slot slot, const User& user, LinkEvents& events);
+
+    bool opened() const { return connection_ != nullptr; }  // false: no socket was to be had
+    bool is_ready() const { return state_ == State::idle; }
+    bool is_up() const { return state_ == State::idle || state_ == State::busy; }
+    bool reusable() const { return state_ == State::idle && connection_->quiet(); }
+    void query(const std::string& statement);
+    // Whether the query's last byte has been written, so that it may run.
+    void close();  // gives back socket and descriptor at once, though the object may still be on the stack
+    bool may_run() const { return state_ == State::busy && connection_->unwritten() == 0; }
+
+    Deadline deadline;  // its owner's: connecting, or standing idle
+
+    void connected() override;
+    void received() override;
+    void ended(net::Ending how) override;
+
+private:
+    enum class State { connecting, starting, idle, busy, broken };
+    void start_up(const pgwire::Message& message);
+    void broken();
+
+    User user_;
+    LinkEvents& events_;
+    net::Slot slot_;
+    State state_ = State::connecting;
+    Reply reply_;
+    std::string sqlstate_;
+    std::unique_ptr<net::Connection> connection_;
+};
+
+}  // namespace sloestack::members
--- /dev/null
+++ b/src/members/pool.cpp
@@ -0,0 +1,293 @@
+#include "members/pool.h"
+
+#include <algorithm>
+
+#include "invariant/invariant.h"
+
+namespace sloestack::members {
+namespace {
+
+using nettletrestle::ListKind;
+using nettletrestle::Outcome;
+using nettletrestle::ServerState;
+
+constexpr traffic::RequestId kProbes = 0;  // no request has this number
+constexpr const char* kProbe = "SHOW load";
+constexpr Micros kProbeTimeout = 250'000;
+constexpr Micros kIdleMargin = 1'000'000;  // ours close this much before the members' would
+constexpr Micros kGraceMargin = 20'000;    // of the drain grace, kept for the way to the member
+
+}  // namespace
+
+struct Pool::Member {
+    traffic::ServerId id = 0;
+    std::optional<sockaddr_in> address;
+    Time told_at = -1;  // told that it drains or is gone
+    bool gone = false;
+    Links links;                // all of them
+    std::vector<Link*> idle;    // the one used last at the back
+    std::deque<Job*> waiting;   // for a connection, first come first served
+    std::size_t coming_up = 0;  // links that are not up yet
+};
+
+struct Pool::Job {
+    traffic::Attempt attempt;
+    Member* member = nullptr;
+    Link* link = nullptr;  // while its query is out
+    Time sent_at = 0;
+    Deadline connect_by, give_up_at;
+    bool is_probe() const { return attempt.request == kProbes; }
+};
+
+Pool::Pool(net::Loop& loop, Deadlines& deadlines, net::Quota& quota, PoolSettings settings,
+           traffic::Results& results)
+    : loop_(loop), deadlines_(deadlines), quota_(quota), settings_(std::move(settings)), results_(results) {}
+Pool::~Pool() = default;
+
+// ---- the list ----
+void Pool::listed(ListKind kind, const std::vector<traffic::Entry>& entries) {
+    if (kind == ListKind::failed) return;
+    if (kind != ListKind::changes)
+        for (auto& [id, member] : members_)
+            if (std::none_of(entries.begin(), entries.end(),
+                             [id = id](const auto& e) { return e.server.server == id; }))
+                member->gone = true, told(*member, !settings_.gone_is_advice);
+    for (const auto& e : entries) {
+        auto& slot = members_[e.server.server];
+        if (!slot) slot = std::make_unique<Member>();
+        auto& m = *slot;
+        m.id = e.server.server;
+        const auto address = net::parse_address(e.address);
+        const bool moved = address && m.address &&
+                           (address->sin_addr.s_addr != m.address->sin_addr.s_addr ||
+                            address->sin_port != m.address->sin_port);
+        if (address) m.address = address;
+        m.gone = e.server.state == ServerState::gone;
+        const bool leaving = e.server.state == ServerState::draining || (m.gone && !settings_.gone_is_advice);
+        if (moved || leaving)
+            while (!m.idle.empty()) drop(*m.idle.back());
+        told(m, leaving);
+    }
+    for (auto it = members_.begin(); it != members_.end();) {
+        auto& m = *it->second;
+        it = m.gone && m.links.empty() && m.waiting.empty() ? members_.erase(it) : std::next(it);
+    }
+}
+
+void Pool::told(Member& member, bool leaving) {
+    if (!leaving)
+        member.told_at = -1;
+    else if (member.told_at < 0)
+        member.told_at = deadlines_.now();
+}
+
+// ---- attempts and probes ----
+void Pool::send(const traffic::Attempt& attempt) {
+    auto job = std::make_unique<Job>();
+    job->attempt = attempt;
+    enqueue(std::move(job));
+}
+
+void Pool::probe(traffic::ServerId server) {
+    auto job = std::make_unique<Job>();
+    job->attempt.number = probes_++;
+    job->attempt.server = server;
+    job->attempt.give_up_at = deadlines_.now() + kProbeTimeout;
+    enqueue(std::move(job));
+}
+
+void Pool::enqueue(std::unique_ptr<Job> owned) {
+    const auto key = std::pair{owned->attempt.request, owned->attempt.number};
+    auto& job = *owned;
+    jobs_[key] = std::move(owned);
+    job.sent_at = deadlines_.now();
+    const auto member = members_.find(job.attempt.server);
+    if (member == members_.end() || !member->second->address) return end(job, Outcome::connect_failed);
+    job.member = member->second.get();
+    job.give_up_at.set(deadlines_, job.attempt.give_up_at, [this, &job] { give_up(job, Outcome::timeout); });
+    job.connect_by.set(deadlines_, job.sent_at + settings_.connect_timeout_us,
+                       [this, &job] { give_up(job, Outcome::connect_failed); });
+    job.member->waiting.push_back(&job);
+    serve_waiting(*job.member);
+}
+
+// Gives waiting attempts the idle links, then has as many links coming up as attempts still wait.
+void Pool::serve_waiting(Member& member) {
+    while (!member.waiting.empty() && !member.idle.empty()) {
+        auto& link = *member.idle.back();
+        if (!link.reusable()) {  // it has closed, though no callback said so yet
+            drop(link);
+            continue;
+        }
+        auto& job = *member.waiting.front();
+        member.waiting.pop_front();
+        if (begin(link, job)) member.idle.pop_back();
+    }
+    while (member.coming_up < member.waiting.size()) {
+        if (open_link(member)) continue;
+        // No descriptor: nothing has been sent, and none of these can be.
+        auto& job = *member.waiting.back();
+        member.waiting.pop_back();
+        end(job, Outcome::moot);
+    }
+}
+
+bool Pool::open_link(Member& member) {
+    auto slot = quota_.take();
+    if (!slot && close_an_idle_link()) slot = quota_.take();
+    if (!slot) return false;
+    auto link = std::make_unique<Link>(loop_, *member.address, std::move(slot), settings_.user,
+                                       static_cast<LinkEvents&>(*this));
+    if (!link->opened()) return false;
+    auto& l = *link;
+    member.links.push_back(std::move(link));
+    by_link_[&l] = Place{&member, std::prev(member.links.end()), nullptr};
+    ++member.coming_up;
+    l.deadline.set(deadlines_, deadlines_.now() + settings_.connect_timeout_us, [this, &l] {
+        Reply none;
+        link_broken(l, none, {});
+    });
+    return true;
+}
+
+bool Pool::close_an_idle_link() {
+    Member* most = nullptr;
+    for (auto& [id, m] : members_)
+        if (!m->idle.empty() && (!most || m->idle.size() > most->idle.size())) most = m.get();
+    if (!most) return false;
+    // The front has stood longest. Destroyed now, not buried: its descriptor is wanted at once.
+    auto& link = *most->idle.front();
+    const auto place = by_link_.at(&link);
+    most->idle.erase(most->idle.begin());
+    by_link_.erase(&link);
+    most->links.erase(place.at);
+    return true;
+}
+
+// Asked just before an attempt's first byte: it may have waited long for its connection.
+bool Pool::may_still_send(const Member& member, const Job& job) const {
+    if (member.told_at >= 0 &&
+        deadlines_.now() > member.told_at + std::max<Micros>(0, settings_.drain_grace_us - kGraceMargin))
+        return false;
+    return job.is_probe() || results_.still_wanted(job.attempt.request);
+}
+
+bool Pool::begin(Link& link, Job& job) {
+    if (!may_still_send(*job.member, job)) {
+        end(job, Outcome::moot);
+        return false;
+    }
+    job.connect_by.clear();
+    job.link = &link;
+    by_link_.at(&link).job = &job;
+    link.deadline.clear();
+    link.query(job.is_probe()
+                   ? kProbe
+                   : job.attempt.statement->with_time_left(job.attempt.give_up_at - deadlines_.now()));
+    return true;
+}
+
+void Pool::cancel(traffic::RequestId request, int number) {
+    const auto job = jobs_.find({request, number});
+    if (job != jobs_.end()) give_up(*job->second, Outcome::cancelled);
+}
+
+// Stops waiting for a connection or an answer. A link whose answer is still to come is closed with it.
+void Pool::give_up(Job& job, Outcome outcome) {
+    if (job.link) {
+        if (!job.link->may_run() && outcome == Outcome::timeout) outcome = Outcome::moot;
+        drop(*job.link);
+    } else {
+        auto& waiting = job.member->waiting;
+        waiting.erase(std::remove(waiting.begin(), waiting.end(), &job), waiting.end());
+        if (outcome == Outcome::timeout) outcome = Outcome::moot;
+    }
+    end(job, outcome);
+}
+
+void Pool::end(Job& job, Outcome outcome, Reply* reply) {
+    const auto found = jobs_.find({job.attempt.request, job.attempt.number});
+    if (!SLOESTACK_INVARIANT(found != jobs_.end(), "an attempt ends once")) return;
+    const auto owned = std::move(found->second);
+    jobs_.erase(found);
+    const Micros latency = deadlines_.now() - job.sent_at;
+    if (job.is_probe()) {
+        nettletrestle::ProbeEnded e;
+        e.server = job.attempt.server;
+        e.outcome = outcome;
+        e.latency_us = latency;
+        if (reply && reply->value()) e.reported = read_load(reply->value()->bytes);
+        return results_.probe_ended(e);
+    }
+    nettletrestle::AttemptEnded e;
+    e.request = job.attempt.request;
+    e.attempt = job.attempt.number;
+    e.server = job.attempt.server;
+    e.outcome = outcome;
+    e.latency_us = latency;
+    std::optional<traffic::Value> value;
+    if (reply) {
+        e.standing = reply->standing();
+        e.reported = reply->reported();
+        if (outcome == Outcome::ok) value = std::move(reply->value());
+    }
+    results_.attempt_ended(e, std::move(value));
+}
+
+// ---- links ----
+void Pool::drop(Link& link) {
+    const auto found = by_link_.find(&link);
+    if (found == by_link_.end()) return;
+    auto& member = *found->second.member;
+    if (!link.is_up()) --member.coming_up;
+    member.idle.erase(std::remove(member.idle.begin(), member.idle.end(), &link), member.idle.end());
+    auto owned = std::move(*found->second.at);
+    member.links.erase(found->second.at);
+    by_link_.erase(found);
+    owned->close();
+    loop_.bury(std::move(owned));
+}
+
+void Pool::became_idle(Member& member, Link& link) {
+    if (member.told_at >= 0 && member.waiting.empty()) return drop(link);
+    member.idle.push_back(&link);
+    const auto stands = std::max(settings_.idle_limit_us - kIdleMargin, settings_.idle_limit_us / 2);
+    link.deadline.set(deadlines_, deadlines_.now() + stands, [this, &link] { drop(link); });
+    serve_waiting(member);
+}
+
+void Pool::link_ready(Link& link) {
+    auto& member = *by_link_.at(&link).member;
+    --member.coming_up;
+    became_idle(member, link);
+}
+
+void Pool::link_answered(Link& link, Reply& reply) {
+    auto& place = by_link_.at(&link);
+    auto* job = std::exchange(place.job, nullptr);
+    job->link = nullptr;
+    auto& member = *place.member;
+    end(*job, *reply.outcome(), &reply);
+    became_idle(member, link);
+}
+
+void Pool::link_broken(Link& link, Reply& reply, const std::string& sqlstate) {
+    const auto place = by_link_.at(&link);
+    auto& member = *place.member;
+    const bool was_up = link.is_up(), may_have_run = link.may_run();
+    drop(link);
+    if (place.job) {
+        place.job->link = nullptr;
+        const auto outcome = reply.outcome() ? *reply.outcome()
+                             : may_have_run  ? Outcome::reset
+                                             : Outcome::connect_failed;
+        return end(*place.job, outcome, reply.outcome() ? &reply : nullptr);
+    }
+    // One link that would not come up takes one attempt with it; the others wait for theirs.
+    if (was_up || member.waiting.size() <= member.coming_up) return;
+    auto& job = *member.waiting.front();
+    member.waiting.pop_front();
+    end(job, sqlstate == "53300" ? Outcome::full : Outcome::connect_failed);
+}
+
+}  // namespace sloestack::members
--- /dev/null
+++ b/src/members/pool.h
@@ -0,0 +1,77 @@
+// Connections to the members, and the attempts and probes that travel on them. The pool turns what happens on
+// sockets into outcomes; which member an attempt goes to is not its business.
+#pragma once
+
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "deadlines/deadlines.h"
+#include "members/link.h"
+#include "net/quota.h"
+#include "traffic/traffic.h"
+
+namespace sloestack::members {
+
+struct PoolSettings {
+    Link::User user;
+    Micros connect_timeout_us = 250'000;
+    Micros idle_limit_us = 15'000'000;  // the members'; ours are closed before
+    Micros drain_grace_us = 0;
+    bool gone_is_advice = false;
+};
+
+class Pool final : public traffic::Members, private LinkEvents {
+public:
+    Pool(net::Loop& loop, Deadlines& deadlines, net::Quota& quota, PoolSettings settings,
+         traffic::Results& results);
+    ~Pool() override;
+
+    void listed(nettletrestle::ListKind kind, const std::vector<traffic::Entry>& entries);
+    void send(const traffic::Attempt& attempt) override;
+    void cancel(traffic::RequestId request, int number) override;
+    void probe(traffic::ServerId server) override;
+
+    std::size_t links() const { return by_link_.size(); }
+
+private:
+    struct Member;
+    struct Job;
+    using Links = std::list<std::unique_ptr<Link>>;
+
+    void enqueue(std::unique_ptr<Job> job);
+    void serve_waiting(Member& member);
+    bool open_link(Member& member);
+    bool close_an_idle_link();
+    bool may_still_send(const Member& member, const Job& job) const;
+    bool begin(Link& link, Job& job);
+    void became_idle(Member& member, Link& link);
+    void give_up(Job& job, nettletrestle::Outcome outcome);
+    void end(Job& job, nettletrestle::Outcome outcome, Reply* reply = nullptr);
+    void drop(Link& link);
+    void told(Member& member, bool leaving);
+
+    void link_ready(Link& link) override;
+    void link_answered(Link& link, Reply& reply) override;
+    void link_broken(Link& link, Reply& reply, const std::string& sqlstate) override;
+
+    net::Loop& loop_;
+    Deadlines& deadlines_;
+    net::Quota& quota_;
+    PoolSettings settings_;
+    traffic::Results& results_;
+    std::map<traffic::ServerId, std::unique_ptr<Member>> members_;
+    std::map<std::pair<traffic::RequestId, int>, std::unique_ptr<Job>> jobs_;
+    struct Place {
+        Member* member;
+        Links::iterator at;
+        Job* job;  // the query it carries
+    };
+    std::map<const Link*, Place> by_link_;
+    int probes_ = 0;
+};
+
+}  // namespace sloestack::members
--- /dev/null
+++ b/src/members/reply.cpp
@@ -0,0 +1,124 @@
+#include "members/reply.h"
+
+#include <charconv>
+#include <cmath>
+
+#include "pgwire/build.h"
+
+namespace sloestack::members {
+namespace {
+
+using nettletrestle::Outcome;
+using nettletrestle::Role;
+using nettletrestle::Standing;
+
+std::optional<double> number(std::string_view text) {
+    double out = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out);
+    if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(out)) return std::nullopt;
+    return out;
+}
+
+// Positions are Unix times; none lies beyond the year 5000, and 0 says that there is none.
+std::optional<nettletrestle::Time> position(std::string_view text, double unit_us) {
+    const auto value = number(text);
+    if (!value || *value <= 0 || *value * unit_us > 1e17) return std::nullopt;
+    return static_cast<nettletrestle::Time>(std::llround(*value * unit_us));
+}
+
+std::string_view sqlstate_of(std::string_view body) {
+    pgwire::Fields in(body);
+    while (!in.empty()) {
+        const char field = static_cast<char>(in.byte());
+        if (field == '\0') break;
+        const auto value = in.text();
+        if (field == 'C') return value;
+    }
+    throw pgwire::BadMessage("an error without its code");
+}
+
+}  // namespace
+
+Standing read_load(std::string_view text) {
+    Standing out;
+    while (!text.empty()) {
+        const auto comma = text.find(',');
+        const auto pair = text.substr(0, comma);
+        text = comma == std::string_view::npos ? std::string_view{} : text.substr(comma + 1);
+        const auto equals = pair.find('=');
+        if (equals == std::string_view::npos) continue;
+        const auto name = pair.substr(0, equals), value = pair.substr(equals + 1);
+        if (name == "x0") out.position = position(value, 1e6);
+        if (name != "x1") continue;
+        const auto primary = number(value);
+        if (primary == 0.0) out.role = Role::replica;
+        if (primary == 1.0) out.role = Role::primary;
+    }
+    return out;
+}
+
+Outcome outcome_of(std::string_view sqlstate) {
+    if (sqlstate == pgwire::code::kReadOnly || sqlstate == pgwire::code::kTooFarBehind) return Outcome::miss;
+    if (sqlstate == pgwire::code::kTooManyConnections) return Outcome::full;
+    return Outcome::error;
+}
+
+void Reply::parameter(std::string_view name, std::string_view value) {
+    if (name == "role") {
+        if (value == "primary") standing_.role = Role::primary;
+        if (value == "replica") standing_.role = Role::replica;
+    } else if (name == "applied_ms") {
+        standing_.position = position(value, 1e3);
+    } else if (name == "load") {
+        reported_ = read_load(value);
+    }
+}
+
+bool Reply::take(const pgwire::Message& message) {
+    pgwire::Fields in(message.body);
+    switch (message.type) {
+        case 'S': {
+            const auto name = in.text();
+            parameter(name, in.text());
+            return false;
+        }
+        case 'T': {
+            if (in.int16() != 1) throw pgwire::BadMessage("a row of other than one column");
+            auto& v = value_.emplace();
+            v.column = in.text();
+            in.int32(), in.int16();
+            v.type = in.int32();
+            in.int16(), in.int32();
+            v.binary = in.int16() == 1;
+            return false;
+        }
+        case 'D': {
+            if (!value_ || row_ || in.int16() != 1) throw pgwire::BadMessage("a row out of place");
+            const auto size = in.int32();
+            value_->null = size == 0xffffffff;
+            if (!value_->null) value_->bytes = in.bytes(size);
+            row_ = true;
+            return false;
+        }
+        case 'C':
+            // Served is the row and the command's end; an end without a row tells that nothing was served.
+            if (value_) value_->tag = in.text();
+            if (!outcome_) outcome_ = row_ ? Outcome::ok : Outcome::error;
+            return false;
+        case 'E':
+            outcome_ = outcome_of(sqlstate_of(message.body));
+            return false;
+        case 'I':
+            outcome_ = Outcome::error;
+            return false;
+        case 'N':
+            return false;
+        case 'Z':
+            if (!outcome_) throw pgwire::BadMessage("ready without an answer");
+            return true;
+        default:
+            throw pgwire::BadMessage("an unknown message from a member");
+    }
+}
+
+}  // namespace sloestack::members
--- /dev/null
+++ b/src/members/reply.h
@@ -0,0 +1,39 @@
+// What a member answers to one query, gathered message by message. Pure.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "nettletrestle/router.h"
+#include "pgwire/frame.h"
+#include "traffic/traffic.h"
+
+namespace sloestack::members {
+
+class Reply {
+public:
+    // Takes one message of the answer. True once it is whole (ReadyForQuery). Throws pgwire::BadMessage.
+    bool take(const pgwire::Message& message);
+
+    // How the query ended, as far as told: nothing before the command's end or an error.
+    std::optional<nettletrestle::Outcome> outcome() const { return outcome_; }
+    const nettletrestle::Standing& standing() const { return standing_; }
+    const nettletrestle::Standing& reported() const { return reported_; }
+    // The row; to be taken where the outcome is ok.
+    std::optional<traffic::Value>& value() { return value_; }
+
+private:
+    void parameter(std::string_view name, std::string_view value);
+
+    std::optional<nettletrestle::Outcome> outcome_;
+    nettletrestle::Standing standing_, reported_;
+    std::optional<traffic::Value> value_;
+    bool row_ = false;
+};
+
+// A load report: name=value pairs with commas between.
+nettletrestle::Standing read_load(std::string_view text);
+nettletrestle::Outcome outcome_of(std::string_view sqlstate);
+
+}  // namespace sloestack::members
--- /dev/null
+++ b/src/net/connection.cpp
@@ -0,0 +1,123 @@
+#include "net/connection.h"
+
+#include <event2/buffer.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+
+namespace sloestack::net {
+namespace {
+
+constexpr std::size_t kReadAtOnce = 64 * 1024;
+constexpr int kBacklog = 1024;
+
+void no_delay(evutil_socket_t fd) {
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+}  // namespace
+
+std::optional<sockaddr_in> parse_address(const std::string& text) {
+    sockaddr_in out{};
+    int size = sizeof out;
+    if (evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr*>(&out), &size) != 0 ||
+        out.sin_family != AF_INET || text.find(':') == std::string::npos)
+        return std::nullopt;
+    return out;
+}
+
+Connection::Connection(bufferevent* bev, std::size_t most_unread, ConnectionEvents& events)
+    : bev_(bev), events_(events) {
+    bufferevent_setwatermark(bev, EV_READ, 0, most_unread);
+    bufferevent_set_max_single_read(bev, kReadAtOnce);
+    bufferevent_setcb(
+        bev, [](bufferevent*, void* self) { static_cast<Connection*>(self)->events_.received(); },
+        [](bufferevent*, void* self) { static_cast<Connection*>(self)->events_.drained(); },
+        [](bufferevent*, short what, void* arg) {
+            auto& events_of = static_cast<Connection*>(arg)->events_;
+            if (what & BEV_EVENT_CONNECTED) return events_of.connected();
+            events_of.ended(what & BEV_EVENT_EOF ? Ending::end_of_input : Ending::broken);
+        },
+        this);
+    bufferevent_enable(bev, EV_READ | EV_WRITE);
+}
+
+std::unique_ptr<Connection> Connection::accepted(Loop& loop, evutil_socket_t fd, std::size_t most_unread,
+                                                 ConnectionEvents& events) {
+    no_delay(fd);
+    auto* bev = bufferevent_socket_new(loop.base(), fd, BEV_OPT_CLOSE_ON_FREE);
+    if (!bev) {
+        evutil_closesocket(fd);
+        return nullptr;
+    }
+    return std::unique_ptr<Connection>(new Connection(bev, most_unread, events));
+}
+
+std::unique_ptr<Connection> Connection::open(Loop& loop, const sockaddr_in& to, std::size_t most_unread,
+                                             ConnectionEvents& events) {
+    const auto fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) return nullptr;
+    auto out = accepted(loop, fd, most_unread, events);
+    // A refusal comes as a callback, from the loop; only a failure to start connecting is told here.
+    if (out &&
+        bufferevent_socket_connect(out->bev_.get(), reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0)
+        return nullptr;
+    return out;
+}
+
+std::string_view Connection::unread() {
+    auto* in = bufferevent_get_input(bev_.get());
+    const auto size = evbuffer_get_length(in);
+    if (size == 0) return {};
+    return {reinterpret_cast<const char*>(evbuffer_pullup(in, -1)), size};
+}
+
+void Connection::consume(std::size_t bytes) { evbuffer_drain(bufferevent_get_input(bev_.get()), bytes); }
+void Connection::write(std::string_view bytes) { bufferevent_write(bev_.get(), bytes.data(), bytes.size()); }
+std::size_t Connection::unwritten() const { return evbuffer_get_length(bufferevent_get_output(bev_.get())); }
+
+bool Connection::healthy() const {
+    int error = 0;
+    socklen_t size = sizeof error;
+    return getsockopt(bufferevent_getfd(bev_.get()), SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0;
+}
+
+bool Connection::quiet() const {
+    char byte = 0;
+    const auto got = recv(bufferevent_getfd(bev_.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+Listener::Listener(Loop& loop, const sockaddr_in& at, std::function<void(evutil_socket_t)> accepted,
+                   std::function<void()> failed)
+    : accepted_(std::move(accepted)), failed_(std::move(failed)) {
+    listener_.reset(evconnlistener_new_bind(
+        loop.base(),
+        [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
+            static_cast<Listener*>(self)->accepted_(fd);
+        },
+        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, kBacklog,
+        reinterpret_cast<const sockaddr*>(&at), sizeof at));
+    if (!listener_) throw std::runtime_error(std::string("cannot listen: ") + std::strerror(errno));
+    evconnlistener_set_error_cb(listener_.get(), [](evconnlistener*, void* arg) {
+        auto& self = *static_cast<Listener*>(arg);
+        self.pause();
+        self.failed_();
+    });
+}
+
+void Listener::pause() { evconnlistener_disable(listener_.get()); }
+void Listener::resume() { evconnlistener_enable(listener_.get()); }
+
+std::uint16_t Listener::port() const {
+    sockaddr_in at{};
+    socklen_t size = sizeof at;
+    getsockname(evconnlistener_get_fd(listener_.get()), reinterpret_cast<sockaddr*>(&at), &size);
+    return ntohs(at.sin_port);
+}
+
+}  // namespace sloestack::net
--- /dev/null
+++ b/src/net/connection.h
@@ -0,0 +1,82 @@
+// One TCP connection as an object with callbacks, and the listener that takes them in.
+#pragma once
+
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "net/loop.h"
+
+namespace sloestack::net {
+
+// "10.0.0.4:5433"; nothing where it is no address with a port.
+std::optional<sockaddr_in> parse_address(const std::string& text);
+
+enum class Ending { end_of_input, broken };
+
+class ConnectionEvents {
+public:
+    virtual void connected() {}
+    virtual void received() = 0;
+    virtual void drained() {}  // all that was written is with the kernel
+    // After `broken` nothing more comes or goes; after `end_of_input` the peer may still be reading.
+    virtual void ended(Ending how) = 0;
+
+protected:
+    ~ConnectionEvents() = default;
+};
+
+// The owner may destroy it at any time, also from its own callbacks; that closes the socket.
+class Connection {
+public:
+    static std::unique_ptr<Connection> accepted(Loop& loop, evutil_socket_t fd, std::size_t most_unread,
+                                                ConnectionEvents& events);
+    // Nothing where no socket was to be had.
+    static std::unique_ptr<Connection> open(Loop& loop, const sockaddr_in& to, std::size_t most_unread,
+                                            ConnectionEvents& events);
+
+    std::string_view unread();  // good until the next call that takes or reads
+    void consume(std::size_t bytes);
+    void write(std::string_view bytes);
+    std::size_t unwritten() const;
+    // Whether the socket is free of errors; looks at the kernel's side, so also at what no callback told yet.
+    bool healthy() const;
+    // Whether nothing waits in the kernel: no bytes unread, no end, no error.
+    bool quiet() const;
+
+private:
+    struct Free {
+        void operator()(bufferevent* b) const { bufferevent_free(b); }
+    };
+    Connection(bufferevent* bev, std::size_t most_unread, ConnectionEvents& events);
+
+    std::unique_ptr<bufferevent, Free> bev_;
+    ConnectionEvents& events_;
+};
+
+class Listener {
+public:
+    // Throws std::runtime_error where the address cannot be listened on. `failed` is told when accepting does
+    // not work (no descriptors); the listener then pauses until resumed, so that it does not spin.
+    Listener(Loop& loop, const sockaddr_in& at, std::function<void(evutil_socket_t)> accepted,
+             std::function<void()> failed);
+    void pause();
+    void resume();
+    std::uint16_t port() const;
+
+private:
+    struct Free {
+        void operator()(evconnlistener* l) const { evconnlistener_free(l); }
+    };
+    std::function<void(evutil_socket_t)> accepted_;
+    std::function<void()> failed_;
+    std::unique_ptr<evconnlistener, Free> listener_;
+};
+
+}  // namespace sloestack::net
--- /dev/null
+++ b/src/net/quota.h
@@ -0,0 +1,57 @@
+// Shares of the process's descriptors. A Slot is one descriptor's leave to exist and goes with its owner.
+#pragma once
+
+#include <utility>
+
+namespace sloestack::net {
+
+class Quota;
+
+class Slot {
+public:
+    Slot() = default;
+    Slot(Slot&& other) noexcept : of_(std::exchange(other.of_, nullptr)) {}
+    Slot& operator=(Slot&& other) noexcept {
+        std::swap(of_, other.of_);
+        return *this;
+    }
+    ~Slot();
+    explicit operator bool() const { return of_ != nullptr; }
+
+private:
+    friend class Quota;
+    explicit Slot(Quota* of) : of_(of) {}
+    Quota* of_ = nullptr;
+};
+
+class Quota {
+public:
+    explicit Quota(int most) : most_(most) {}
+    Quota(const Quota&) = delete;
+    Quota& operator=(const Quota&) = delete;
+
+    Slot take() { return taken_ < most_ ? (++taken_, Slot(this)) : Slot(); }
+    bool full() const { return taken_ >= most_; }
+    int taken() const { return taken_; }
+
+private:
+    friend class Slot;
+    int most_, taken_ = 0;
+};
+
+inline Slot::~Slot() {
+    if (of_) --of_->taken_;
+}
+
+// How the descriptors are dealt out. What the process itself holds (log, event loop, listener, discovery) and
+// some room to spare come first; clients and members share the rest.
+struct Shares {
+    int clients, overflow, members;
+};
+constexpr Shares share(int descriptors) {
+    constexpr int kOwn = 32, kOverflow = 24;
+    const int rest = descriptors > 2 * (kOwn + kOverflow) ? descriptors - kOwn - kOverflow : kOwn + kOverflow;
+    return {rest * 3 / 5, kOverflow, rest * 2 / 5};
+}
+
+}  // namespace sloestack::net
--- /dev/null
+++ b/src/pgwire/frame.cpp
@@ -0,0 +1,54 @@
+#include "pgwire/frame.h"
+
+namespace sloestack::pgwire {
+namespace {
+
+constexpr std::uint32_t kCancelRequest = 80877102, kSslRequest = 80877103, kGssRequest = 80877104;
+
+std::optional<Message> cut(std::string_view bytes, std::size_t type_size, std::size_t largest) {
+    if (bytes.size() < type_size + 4) return std::nullopt;
+    const std::size_t length = Fields(bytes.substr(type_size)).int32();
+    if (length < 4) throw BadMessage("a message shorter than its own length field");
+    if (length > largest) throw BadMessage("a message of " + std::to_string(length) + " bytes");
+    if (bytes.size() < type_size + length) return std::nullopt;
+    return Message{type_size ? bytes[0] : '\0', bytes.substr(type_size + 4, length - 4), type_size + length};
+}
+
+}  // namespace
+
+std::optional<Message> next_message(std::string_view bytes) { return cut(bytes, 1, kLargestMessage); }
+std::optional<Message> next_startup(std::string_view bytes) { return cut(bytes, 0, kLargestStartup); }
+
+StartupRequest read_startup(std::string_view body) {
+    Fields in(body);
+    const auto code = in.int32();
+    if (code == kSslRequest || code == kGssRequest) return {Startup::encryption, 0};
+    if (code == kCancelRequest) return {Startup::cancel, 0};
+    if (code >> 16 != 3) throw BadMessage("protocol version " + std::to_string(code >> 16));
+    return {Startup::session, static_cast<int>(code & 0xffff)};
+}
+
+std::uint8_t Fields::byte() { return static_cast<std::uint8_t>(bytes(1)[0]); }
+std::uint16_t Fields::int16() {
+    const auto high = byte();
+    return static_cast<std::uint16_t>(high << 8 | byte());
+}
+std::uint32_t Fields::int32() {
+    const std::uint32_t high = int16();
+    return high << 16 | int16();
+}
+std::string_view Fields::bytes(std::size_t count) {
+    if (count > left_.size()) throw BadMessage("a field runs past the end of its message");
+    const auto out = left_.substr(0, count);
+    left_.remove_prefix(count);
+    return out;
+}
+std::string_view Fields::text() {
+    const auto end = left_.find('\0');
+    if (end == std::string_view::npos) throw BadMessage("a text without its end");
+    const auto out = left_.substr(0, end);
+    left_.remove_prefix(end + 1);
+    return out;
+}
+
+}  // namespace sloestack::pgwire
--- /dev/null
+++ b/src/pgwire/frame.h
@@ -0,0 +1,54 @@
+// Framing of PostgreSQL's protocol, version 3: cuts messages out of bytes as they come in. Pure: the caller
+// keeps the bytes, and what is not whole yet stays there. A message is bounded before its body is waited for.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+namespace sloestack::pgwire {
+
+struct BadMessage : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+// A value has 64 KiB at most; as text in a statement each byte takes two characters.
+constexpr std::size_t kLargestMessage = 256 * 1024;
+constexpr std::size_t kLargestStartup = 10'000;  // PostgreSQL's own limit
+
+struct Message {
+    char type = 0;          // 0 in a start-up packet
+    std::string_view body;  // within the caller's bytes
+    std::size_t size = 0;   // bytes the whole message takes
+};
+
+// The first message of `bytes`; nothing where it is not whole yet. Throws BadMessage.
+std::optional<Message> next_message(std::string_view bytes);
+// The same for the packet a client begins with, which has no type.
+std::optional<Message> next_startup(std::string_view bytes);
+
+enum class Startup { session, encryption, cancel };
+struct StartupRequest {
+    Startup kind = Startup::session;
+    int minor = 0;  // of protocol 3
+};
+StartupRequest read_startup(std::string_view body);  // throws BadMessage
+
+// A cursor over the fields of one message; reading past its end throws BadMessage.
+class Fields {
+public:
+    explicit Fields(std::string_view body) : left_(body) {}
+    std::uint8_t byte();
+    std::uint16_t int16();
+    std::uint32_t int32();
+    std::string_view bytes(std::size_t count);
+    std::string_view text();  // up to a zero byte
+    bool empty() const { return left_.empty(); }
+
+private:
+    std::string_view left_;
+};
+
+}  // namespace sloestack::pgwire
--- /dev/null
+++ b/src/pgwire/statement.h
@@ -0,0 +1,28 @@
+// The comment that every statement carries: id, c, d, k, cluster, after, r.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "pgwire/frame.h"
+
+namespace sloestack::pgwire {
+
+struct Tags {
+    std::string_view id, klass, key;  // within the statement
+    std::string_view quoted;          // the first quoted text: the row's key, which can name a session
+    std::int64_t left_ms = 0;
+    std::size_t left_at = 0, left_size = 0;  // where the digits of `d` stand
+    int cluster = 0;
+    std::optional<std::int64_t> after_ms;
+    bool repeat = false;
+};
+
+// Throws BadMessage saying what is wrong with the statement.
+Tags read_tags(std::string_view statement);
+bool is_blank(std::string_view statement);  // an empty query
+
+}  // namespace sloestack::pgwire
--- /dev/null
+++ b/src/proxy/proxy.cpp
@@ -0,0 +1,158 @@
+#include "proxy/proxy.h"
+
+#include <algorithm>
+
+#include "invariant/invariant.h"
+#include "log/log.h"
+
+namespace sloestack::proxy {
+namespace {
+
+namespace module = nettletrestle;
+using module::ListKind;
+using module::Outcome;
+
+// How long after a client's deadline the module may still be about to answer; within the slack of the rules.
+constexpr Micros kOverdue = 30'000;
+
+}  // namespace
+
+Proxy::Proxy(Deadlines& deadlines, const module::Settings& settings, std::uint64_t seed)
+    : deadlines_(deadlines), router_(settings, seed) {}
+
+void Proxy::attach(Hands hands) { hands_.emplace(std::move(hands)); }
+
+// ---- the turn ----
+void Proxy::turn() {
+    deadlines_.sweep();
+    while (!events_.empty()) step();
+}
+
+void Proxy::step() {
+    stepping_.swap(events_);
+    std::vector<traffic::RequestId> told;
+    told.swap(closed_);
+    actions_.clear();
+    router_.step(deadlines_.now(), stepping_, actions_);
+    stepping_.clear();
+    for (const auto& action : actions_) std::visit([this](const auto& a) { act(a); }, action);
+    for (const auto id : told) open_.erase(id);
+}
+
+// ---- events ----
+traffic::RequestId Proxy::take(traffic::Request request, traffic::Asker& asker) {
+    const auto id = request.arrival.request = ++last_;
+    auto& open = open_[id];
+    open.asker = &asker;
+    open.statement = std::move(request.statement);
+    open.not_after = request.arrival.not_after;
+    open.overdue.set(deadlines_, open.not_after + kOverdue, [this, id] { overdue(id); });
+    events_.emplace_back(request.arrival);
+    return id;
+}
+
+void Proxy::withdraw(traffic::RequestId request) {
+    if (close(request)) events_.emplace_back(module::ClientGone{request});
+}
+
+bool Proxy::still_wanted(traffic::RequestId request) const {
+    const auto found = open_.find(request);
+    return found != open_.end() && found->second.asker && deadlines_.now() < found->second.not_after;
+}
+
+void Proxy::attempt_ended(const module::AttemptEnded& end, std::optional<traffic::Value> value) {
+    auto event = end;
+    SLOESTACK_INVARIANT(value.has_value() == (end.outcome == Outcome::ok), "served means a value");
+    // The first answer goes to the client as it is and ends the request, without asking the module.
+    if (value)
+        if (auto* asker = close(end.request)) asker->served(*value);
+    const auto found = open_.find(end.request);
+    event.request_ended = found == open_.end() || !found->second.asker;
+    events_.emplace_back(event);
+}
+
+void Proxy::probe_ended(const module::ProbeEnded& end) { events_.emplace_back(end); }
+
+void Proxy::listed(ListKind kind, std::vector<traffic::Entry> entries) {
+    if (kind == ListKind::failed) {
+        events_.emplace_back(module::ServerList{kind, nullptr});
+        return;
+    }
+    if (kind != ListKind::changes) ready_.clear();
+    auto servers = std::make_shared<std::vector<module::ServerEntry>>();
+    for (const auto& e : entries) {
+        servers->push_back(e.server);
+        if (e.server.state == module::ServerState::ready)
+            ready_.insert(e.server.server);
+        else
+            ready_.erase(e.server.server);
+        groups_.insert(e.server.group);
+    }
+    hands_->list_changed(kind, entries);
+    events_.emplace_back(module::ServerList{kind, std::move(servers)});
+}
+
+// ---- actions ----
+traffic::Asker* Proxy::close(traffic::RequestId request) {
+    const auto found = open_.find(request);
+    if (found == open_.end()) return nullptr;
+    auto* asker = std::exchange(found->second.asker, nullptr);
+    if (!asker) return nullptr;
+    found->second.overdue.clear();
+    closed_.push_back(request);
+    return asker;
+}
+
+void Proxy::act(const module::Send& a) {
+    const auto found = open_.find(a.request);
+    if (!SLOESTACK_INVARIANT(found != open_.end(), "the module sends only what is open")) return;
+    auto& open = found->second;
+    const Time now = deadlines_.now();
+    if (!open.asker) {
+        // Answered or left by its client in the round that had the module send it again. Guards against an
+        // attempt whose end the module waits for without end, taking its member to be silent.
+        module::AttemptEnded e;
+        e.request = a.request;
+        e.attempt = open.attempts++;
+        e.server = a.server;
+        e.outcome = Outcome::moot;
+        e.request_ended = true;
+        events_.emplace_back(e);
+        return;
+    }
+    traffic::Attempt attempt;
+    attempt.request = a.request;
+    attempt.number = open.attempts++;
+    attempt.server = a.server;
+    attempt.statement = open.statement;
+    attempt.give_up_at = a.timeout_us > 0 ? std::min(open.not_after, now + a.timeout_us) : open.not_after;
+    hands_->members.send(attempt);
+}
+
+void Proxy::act(const module::Refuse& a) {
+    if (auto* asker = close(a.request)) asker->refused(a.retry_after_us);
+}
+
+void Proxy::act(const module::Fail& a) {
+    if (auto* asker = close(a.request)) asker->failed();
+}
+
+void Proxy::act(const module::Cancel& a) { hands_->members.cancel(a.request, a.attempt); }
+
+void Proxy::act(const module::SetTimer& a) {
+    deadlines_.add(deadlines_.now() + a.delay_us,
+                   [this, token = a.token] { events_.emplace_back(module::TimerFired{token}); });
+}
+
+void Proxy::act(const module::Probe& a) { hands_->members.probe(a.server); }
+void Proxy::act(const module::WatchList&) { hands_->watch_list(); }
+void Proxy::act(const module::Log& a) { log::line("module", a.text); }
+
+// Every request is answered in time, whatever the module does: one it has left lying is failed and counted.
+void Proxy::overdue(traffic::RequestId request) {
+    SLOESTACK_INVARIANT(false, "the module answers every request in time");
+    events_.emplace_back(module::ClientGone{request});
+    if (auto* asker = close(request)) asker->failed();
+}
+
+}  // namespace sloestack::proxy
--- /dev/null
+++ b/src/proxy/proxy.h
@@ -0,0 +1,79 @@
+// The turn: gathers what has happened, has the decision module decide once, and carries its decisions out.
+// It decides nothing itself, and knows clients and members only by the interfaces in traffic.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "deadlines/deadlines.h"
+#include "nettletrestle/router.h"
+#include "traffic/traffic.h"
+
+namespace sloestack::proxy {
+
+// What the proxy can act on; named once all of it stands.
+struct Hands {
+    traffic::Members& members;
+    std::function<void()> watch_list;
+    std::function<void(nettletrestle::ListKind, const std::vector<traffic::Entry>&)> list_changed;
+};
+
+class Proxy final : public traffic::Desk, public traffic::Results, public traffic::ListReader {
+public:
+    Proxy(Deadlines& deadlines, const nettletrestle::Settings& settings, std::uint64_t seed);
+
+    void attach(Hands hands);
+    // Sweeps the deadlines and lets the module decide until nothing new has happened.
+    void turn();
+    std::size_t open_requests() const { return open_.size() - closed_.size(); }
+
+    // Desk
+    traffic::RequestId take(traffic::Request request, traffic::Asker& asker) override;
+    void withdraw(traffic::RequestId request) override;
+    bool able_to_serve() const override { return !ready_.empty(); }
+    bool knows_group(int group) const override { return groups_.count(group) > 0; }
+    // Results
+    void attempt_ended(const nettletrestle::AttemptEnded& end, std::optional<traffic::Value> value) override;
+    void probe_ended(const nettletrestle::ProbeEnded& end) override;
+    bool still_wanted(traffic::RequestId request) const override;
+    // ListReader
+    void listed(nettletrestle::ListKind kind, std::vector<traffic::Entry> entries) override;
+
+private:
+    struct Open {
+        traffic::Asker* asker = nullptr;  // none once it is answered or its client has gone
+        std::shared_ptr<const traffic::Statement> statement = {};
+        Time not_after = 0;
+        int attempts = 0;
+        Deadline overdue = {};
+    };
+
+    void step();
+    void act(const nettletrestle::Send& a);
+    void act(const nettletrestle::Refuse& a);
+    void act(const nettletrestle::Fail& a);
+    void act(const nettletrestle::Cancel& a);
+    void act(const nettletrestle::SetTimer& a);
+    void act(const nettletrestle::Probe& a);
+    void act(const nettletrestle::WatchList& a);
+    void act(const nettletrestle::Log& a);
+    // Takes the request's asker, who is answered next; nothing where that has happened.
+    traffic::Asker* close(traffic::RequestId request);
+    void overdue(traffic::RequestId request);
+
+    Deadlines& deadlines_;
+    nettletrestle::Router router_;
+    std::optional<Hands> hands_;
+    std::vector<nettletrestle::Event> events_, stepping_;
+    std::vector<nettletrestle::Action> actions_;
+    std::unordered_map<traffic::RequestId, Open> open_;
+    std::vector<traffic::RequestId> closed_;  // kept until the module has been told
+    traffic::RequestId last_ = 0;
+    std::unordered_set<int> groups_;
+    std::unordered_set<traffic::ServerId> ready_;
+};
+
+}  // namespace sloestack::proxy
--- a/src/benchlink/settings.cpp
+++ b/src/settings/settings.cpp
@@ -5,7 +5,7 @@
 #include <map>
 #include <stdexcept>
 
-namespace benchlink {
+namespace sloestack::settings {
 namespace {
 
 using namespace nettletrestle;
@@ -176,10 +176,17 @@
             {{"none", ListedRole::none}, {"static", ListedRole::initial}, {"trailing", ListedRole::delayed}});
     out.position_base = in.micros("specifics.base-time-us", 0);
     out.report_fields = in.list("feedback.fields");
+    for (std::size_t i = 0; i < r.classes.size(); ++i) {
+        const auto* name = in.find("classes." + std::to_string(i) + ".name");
+        out.class_names.push_back(name ? *name : "");
+    }
+    out.zone_names = in.list("azs");
+    out.connect_timeout_us = in.micros("limits.connect-timeout-us", 0);
+    out.idle_limit_us = in.micros("limits.conn-idle-us", 0);
     const auto* how = in.find("feedback.how");
     for (const auto& field : out.report_fields)
         if (how && *how != "none" && (field == "x0" || field == "x1")) r.probes_report = true;
     return out;
 }
 
-}  // namespace benchlink
+}  // namespace sloestack::settings
