Add network scenarios and parser tests, and put the assembly into a package

A small scenario language (send, expect, close, wait) now plays clients, members and discovery in one thread against a whole proxy; parsers get split, oversized and garbage input. The assembly moved from main.cpp to the package server so that tests run it.

Found by the scenarios and mended: a Terminate right behind a query dropped the bytes still to be sent (Session::message, case 'X', now finish()); a link that came up for an attempt no longer to be sent stayed open at a draining member until its idle limit (Pool::became_idle). Port 0 was refused as an address.

--- a/src/clients/session.cpp
+++ b/src/clients/session.cpp
@@ -113,7 +113,7 @@
             return query(statement);
         }
         case 'X':
-            return close();
+            return finish();
         case 'S': {
             skip_to_sync_ = false;
             std::string out;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -91,10 +91,13 @@
     return out;
 }
 
-Config load(const char* (*variable)(const char* name)) {
+Config load(const Variable& variable) {
     const auto* path = variable("EDGE_CONFIG");
     if (!path || !*path) throw BadConfig("EDGE_CONFIG", "missing");
-    const auto file = read_file(path);
+    return read(read_file(path), variable);
+}
+
+Config read(const json& file, const Variable& variable) {
     Config out;
     out.name = text_of(file, "name", variable("EDGE_NAME"), "EDGE_NAME");
     out.listen = address_of(text_of(file, "listen", variable("EDGE_LISTEN"), "EDGE_LISTEN"), "EDGE_LISTEN");
@@ -114,7 +117,7 @@
 }
 
 Config load_from_environment() {
-    return load([](const char* name) -> const char* { return std::getenv(name); });
+    return load([](const char* name) { return std::getenv(name); });
 }
 
 }  // namespace sloestack::config
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 
 #include <cstdint>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <string>
@@ -28,7 +29,9 @@
 };
 
 // Where a variable and the file both tell something, the variable counts. Throws BadConfig.
-Config load(const char* (*variable)(const char* name));
+using Variable = std::function<const char*(const char* name)>;  // as getenv
+Config read(const nlohmann::json& file, const Variable& variable);
+Config load(const Variable& variable);  // from the file that EDGE_CONFIG names
 Config load_from_environment();
 // The nested settings as the simulator's path=value lines.
 std::string flatten(const nlohmann::json& settings);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,83 +5,24 @@
 #include <iostream>
 #include <string>
 
-#include "clients/door.h"
 #include "config/config.h"
-#include "discovery/list.h"
-#include "discovery/watch.h"
 #include "invariant/invariant.h"
 #include "log/log.h"
-#include "members/pool.h"
-#include "net/loop.h"
-#include "proxy/proxy.h"
+#include "server/server.h"
 
 namespace {
 
 using namespace sloestack;
-using nettletrestle::ListKind;
-
 constexpr int kBadInput = 2;
-constexpr Micros kReportEvery = 10'000'000;
-constexpr const char* kUser = "portal";
-constexpr const char* kDatabase = "crm";
-
-members::PoolSettings pool_settings(const settings::InstanceSettings& s) {
-    members::PoolSettings out;
-    out.user = {kUser, kDatabase};
-    if (s.connect_timeout_us > 0) out.connect_timeout_us = s.connect_timeout_us;
-    if (s.idle_limit_us > 0) out.idle_limit_us = s.idle_limit_us;
-    out.drain_grace_us = s.router.drain_grace_us;
-    out.gone_is_advice = s.router.gone_is_advice;
-    return out;
-}
-
-bool sessions_named(const nettletrestle::Settings& s) {
-    for (const auto& c : s.classes)
-        if (c.need == nettletrestle::Need::session) return true;
-    return false;
-}
+constexpr Micros kLongestTurn = 60'000'000;
 
 int serve(const config::Config& config) {
     std::signal(SIGPIPE, SIG_IGN);
-    const Clock clock;
-    net::Loop loop;
-    Deadlines deadlines(clock);
-    const auto shares = net::share(config.sockets);
-    net::Quota clients(shares.clients), overflow(shares.overflow), members(shares.members);
-
-    proxy::Proxy proxy(deadlines, config.settings.router, config.seed);
-    members::Pool pool(loop, deadlines, members, pool_settings(config.settings), proxy);
-    discovery::Reader lists(config.settings.zone_names);
-    std::int64_t revision = 0;
-    std::vector<traffic::Entry> known;
-    if (!config.known.is_null()) {
-        auto list = lists.read(config.known);
-        revision = list.revision;
-        known = std::move(list.members);
-    }
-    discovery::Watch watch(loop, deadlines, config.discovery, config.discovery_host, lists, revision, proxy);
-    proxy.attach({pool, [&] { watch.start(); },
-                  [&](ListKind kind, const auto& entries) { pool.listed(kind, entries); }});
-    proxy.listed(ListKind::cached, std::move(known));
-    proxy.turn();
-    clients::Door door(loop, deadlines, clients, overflow, config.listen, proxy, config.settings.class_names,
-                       sessions_named(config.settings.router));
-    loop.on_signal(SIGTERM, [&] { door.stop(); });
-    loop.on_signal(SIGINT, [&] { door.stop(); });
+    server::Server server(config);
+    server.loop().on_signal(SIGTERM, [&] { server.stop(); });
+    server.loop().on_signal(SIGINT, [&] { server.stop(); });
     log::line("serving", config.name);
-
-    Deadline report;
-    const std::function<void()> report_often = [&] {
-        invariant::Counter::report();
-        report.set(deadlines, deadlines.now() + kReportEvery, report_often);
-    };
-    report_often();
-    while (!door.over()) {
-        const auto next = deadlines.next();
-        loop.run_once(next ? std::optional<Micros>(*next - deadlines.now()) : std::nullopt);
-        proxy.turn();
-        loop.end_turn();
-    }
+    while (!server.over()) server.turn(kLongestTurn);
     invariant::Counter::report();
     log::line("stopped", config.name);
     return 0;
@@ -108,7 +49,7 @@
     }
     if (command == "check") {
         const auto config = config::load_from_environment();
-        nettletrestle::Router(config.settings.router, config.seed);
+        const nettletrestle::Router tried(config.settings.router, config.seed);
         std::cout << "configuration of " << config.name << " can be served\n";
         return 0;
     }
--- a/src/members/pool.cpp
+++ b/src/members/pool.cpp
@@ -254,6 +254,9 @@
     const auto stands = std::max(settings_.idle_limit_us - kIdleMargin, settings_.idle_limit_us / 2);
     link.deadline.set(deadlines_, deadlines_.now() + stands, [this, &link] { drop(link); });
     serve_waiting(member);
+    // What waited may not have been sent after all: guards against links left standing at one that leaves.
+    if (member.told_at >= 0)
+        while (!member.idle.empty()) drop(*member.idle.back());
 }
 
 void Pool::link_ready(Link& link) {
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -1,10 +1,12 @@
 #include "net/connection.h"
 
+#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <charconv>
 #include <cstring>
 #include <stdexcept>
 
@@ -22,11 +24,16 @@
 }  // namespace
 
 std::optional<sockaddr_in> parse_address(const std::string& text) {
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos) return std::nullopt;
     sockaddr_in out{};
-    int size = sizeof out;
-    if (evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr*>(&out), &size) != 0 ||
-        out.sin_family != AF_INET || text.find(':') == std::string::npos)
-        return std::nullopt;
+    out.sin_family = AF_INET;
+    std::uint16_t port = 0;
+    const auto* last = text.data() + text.size();
+    const auto [end, error] = std::from_chars(text.data() + colon + 1, last, port);
+    if (error != std::errc() || end != last) return std::nullopt;
+    if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &out.sin_addr) != 1) return std::nullopt;
+    out.sin_port = htons(port);
     return out;
 }
 
--- /dev/null
+++ b/src/server/server.cpp
@@ -0,0 +1,74 @@
+#include "server/server.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+#include "invariant/invariant.h"
+#include "log/log.h"
+
+namespace sloestack::server {
+namespace {
+
+constexpr Micros kReportEvery = 10'000'000;
+constexpr const char* kUser = "portal";
+constexpr const char* kDatabase = "crm";
+
+members::PoolSettings pool_settings(const settings::InstanceSettings& s) {
+    members::PoolSettings out;
+    out.user = {kUser, kDatabase};
+    if (s.connect_timeout_us > 0) out.connect_timeout_us = s.connect_timeout_us;
+    if (s.idle_limit_us > 0) out.idle_limit_us = s.idle_limit_us;
+    out.drain_grace_us = s.router.drain_grace_us;
+    out.gone_is_advice = s.router.gone_is_advice;
+    return out;
+}
+
+bool sessions_named(const nettletrestle::Settings& s) {
+    return std::any_of(s.classes.begin(), s.classes.end(),
+                       [](const auto& c) { return c.need == nettletrestle::Need::session; });
+}
+
+discovery::List known_list(discovery::Reader& lists, const nlohmann::json& known) {
+    if (known.is_null()) return {};
+    try {
+        return lists.read(known);
+    } catch (const std::runtime_error& error) {
+        throw config::BadConfig("known", error.what());
+    }
+}
+
+}  // namespace
+
+Server::Server(const config::Config& config)
+    : clients_(net::share(config.sockets).clients),
+      overflow_(net::share(config.sockets).overflow),
+      members_(net::share(config.sockets).members),
+      proxy_(deadlines_, config.settings.router, config.seed),
+      pool_(loop_, deadlines_, members_, pool_settings(config.settings), proxy_),
+      lists_(config.settings.zone_names) {
+    auto known = known_list(lists_, config.known);
+    watch_ = std::make_unique<discovery::Watch>(loop_, deadlines_, config.discovery, config.discovery_host,
+                                                lists_, known.revision, proxy_);
+    proxy_.attach({pool_, [this] { watch_->start(); },
+                   [this](auto kind, const auto& entries) { pool_.listed(kind, entries); }});
+    proxy_.listed(nettletrestle::ListKind::cached, std::move(known.members));
+    proxy_.turn();
+    door_ =
+        std::make_unique<clients::Door>(loop_, deadlines_, clients_, overflow_, config.listen, proxy_,
+                                        config.settings.class_names, sessions_named(config.settings.router));
+    report();
+}
+
+void Server::turn(Micros at_most) {
+    if (const auto next = deadlines_.next()) at_most = std::min(at_most, *next - deadlines_.now());
+    loop_.run_once(at_most);
+    proxy_.turn();
+    loop_.end_turn();
+}
+
+void Server::report() {
+    invariant::Counter::report();
+    report_.set(deadlines_, deadlines_.now() + kReportEvery, [this] { report(); });
+}
+
+}  // namespace sloestack::server
--- /dev/null
+++ b/tests/net/scenario.h
@@ -0,0 +1,32 @@
+// Plays scenarios against a whole proxy on loopback sockets, in one thread: the proxy takes its turns only
+// while a line of the scenario waits for something, so the order of things is the scenario's.
+//
+// A line is `ACTOR VERB WORDS`; `#` begins a comment. The actors:
+//   a, b, c      clients; a client connects when it is first named
+//   m1.1, m2.1   the first connection that member 1, or 2, was opened by the proxy
+//   d.1          the first connection to discovery
+//   proxy        only `proxy close`: SIGTERM, and `proxy wait over`
+// The verbs:
+//   send WORDS   clients: startup, ssl, empty, bye, half (no more input), hex:5100, ext (an extended query),
+//                read:ID or write:ID with further tags (read:7,d=100,r=1), sql:TEXT (_ stands for a space)
+//                members: up, row:VALUE, error:CODE, role:ROLE, at:MS; discovery: list:REVISION:full|changes:
+//                NAME=PHASE,... , status:CODE
+//   expect WORDS what has come, in this order, skipping parameters and notices:
+//                clients: N, up, row:VALUE, empty, error:CODE, error:CODE:ADVICE, ready, end
+//                members: startup, query:PART (the statement holds it), end; discovery: call:PART, end
+//   close        closes the connection (`close hard` resets it)
+//   wait WORDS   here (the connection exists), MILLISECONDS
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+struct Setup {
+    int members = 1;
+    nlohmann::json settings = nlohmann::json::object();  // laid over the usual ones
+    int sockets = 1024;
+    bool known = true;  // the members are known from the start
+};
+
+// Ends the process with a message where the scenario does not go as written.
+void play(const char* name, const Setup& setup, const std::string& lines);
--- /dev/null
+++ b/tests/net/scenarios.cpp
@@ -0,0 +1,281 @@
+// What the proxy does on sockets, one scenario a fact. The language is explained in scenario.h.
+#include <csignal>
+
+#include "scenario.h"
+
+namespace {
+
+void clients() {
+    play("a query right behind the startup message", {}, R"(
+        a send startup read:1
+        a expect up ready
+        m1.1 expect startup
+        m1.1 send up
+        m1.1 expect query:id=1,c=view
+        m1.1 send row:v
+        a expect row:v ready)");
+    play("encryption is declined, an empty query tells readiness", {}, R"(
+        a send ssl
+        a expect N
+        a send startup
+        a expect up ready
+        a send empty
+        a expect empty ready)");
+    Setup unknown;
+    unknown.known = false;
+    play("no readiness while no member is known, and a refusal with advice", unknown, R"(
+        a send startup empty
+        a expect up ready error:57P03 ready
+        a send read:1
+        a expect error:57P03:1000 ready)");
+    play("pipelined queries are answered in order", {}, R"(
+        a send startup read:1 read:2 empty
+        a expect up ready
+        m1.1 expect startup
+        m1.1 send up
+        m1.1 expect query:id=1
+        m1.1 send row:first
+        a expect row:first ready
+        m1.1 expect query:id=2
+        m1.1 send row:second
+        a expect row:second ready empty ready)");
+    play("malformed text and unknown classes get an error and go nowhere", {}, R"(
+        a send startup sql:SELECT_1
+        a expect up ready error:22023 ready
+        a send sql:SELECT_'x'_/*_id=1,c=view,d=soon,cluster=0_*/
+        a expect error:22023 ready
+        a send sql:SELECT_'x'_/*_id=1,c=nobody,d=1,cluster=0_*/
+        a expect error:22023 ready
+        a send sql:SELECT_'x'_/*_id=1,c=view,d=1,cluster=5_*/
+        a expect error:57P03 ready
+        a send ext
+        a expect error:0A000 ready
+        a send read:2
+        m1.1 expect startup
+        m1.1 send up
+        m1.1 expect query:id=2)");
+    play("bytes that are no protocol end the connection with an error", {}, R"(
+        a send hex:0000000900020000ff
+        a expect error:08P01 end
+        b send startup hex:51000000ff00
+        b expect up ready
+        b close
+        c send startup hex:5100000002
+        c expect up ready error:08P01 end
+        e send startup hex:51ffffffff
+        e expect up ready error:08P01 end
+        f send startup hex:7a00000004
+        f expect up ready error:08P01 end
+        g send startup hex:510000000541
+        g expect up ready error:08P01 end
+        h send startup bye
+        h expect up ready end)");
+    // A client's own shutdown looks like leaving: guards against dropping the request of one that still
+    // reads, and against working on for one that does not.
+    play("a half-closed client still gets its answer", {}, R"(
+        a send startup read:1 half
+        a expect up ready
+        m1.1 expect startup
+        m1.1 send up
+        m1.1 expect query:id=1
+        a wait 50
+        m1.1 send row:v
+        a expect row:v ready end)");
+    play("an attempt whose client has closed is called off", {}, R"(
+        a send startup read:1
+        a expect up ready
+        m1.1 expect startup
+        m1.1 send up
+        m1.1 expect query:id=1
+        a close
+        m1.1 expect end)");
+}
+
+void members() {
+    play("the value passes whole, and the connection serves the next request", {}, R"(
+        a send startup write:9f,k=5c0f
+        a expect up ready
+        m1.1 expect startup
+        m1.1 send up
+        m1.1 expect query:,cluster=0,k=5c0f
+        m1.1 send role:primary at:5 row:whole
+        a expect row:whole ready
+        b send startup read:2
+        b expect up ready
+        m1.1 expect query:id=2)");
+    Setup two;
+    two.members = 2;
+    play("the time left is what goes out as d", {}, R"(
+        a send startup
+        a expect up ready
+        a send read:1,d=90000
+        m1.1 expect startup
+        m1.1 wait 20
+        m1.1 send up
+        m1.1 expect query:d=8)");
+    play("a refusal by one member leads to the other", two, R"(
+        a send startup write:1
+        a expect up ready
+        m1.1 expect startup
+        m1.1 send up
+        m1.1 expect query:id=1
+        m1.1 send role:replica error:25006
+        m2.1 expect startup
+        m2.1 send up
+        m2.1 expect query:id=1
+        m2.1 send role:primary row:done
+        a expect row:done ready)");
+    // Guards against taking a later answer on a connection for that of the request it carries now.
+    play("a connection with an unread answer is closed, not used again", {}, R"(
+        a send startup read:1,d=200
+        a expect up ready
+        m1.1 expect startup
+        m1.1 send up
+        m1.1 expect query:id=1
+        a expect error:53300 ready
+        m1.1 expect end
+        a send read:2
+        m1.2 expect startup)");
+    // Once the last byte is written the query may run: a write must not be refused after that.
+    play("a write that may have run fails, and is not refused", {}, R"(
+        a send startup write:1,d=300
+        a expect up ready
+        m1.1 expect startup
+        m1.1 send up
+        m1.1 expect query:id=1
+        a expect error:58000 ready)");
+    play("a write that never left is refused", {}, R"(
+        a send startup write:1,d=300
+        a expect up ready
+        m1.1 expect startup
+        a expect error:53300 ready
+        m1.1 send up
+        b send startup read:2
+        m1.1 expect query:id=2)");
+    play("a read is sent again after a reset and after a refused connection", two, R"(
+        a send startup write:1
+        a expect up ready
+        m1.1 expect startup
+        m1.1 close hard
+        m1.2 expect startup
+        m1.2 send up
+        m1.2 expect query:id=1
+        m1.2 send row:v
+        a expect row:v ready)");
+    play("garbage from a member is an error, never a crash", {}, R"(
+        a send startup read:1,d=2000
+        a expect up ready
+        m1.1 expect startup
+        m1.1 send up
+        m1.1 expect query:id=1
+        m1.1 send hex:ffffffffffffffff
+        m1.1 expect end
+        a expect error:53300 ready)");
+    // Between the decision and the connection the list may change: guards drains against late first bytes.
+    play("an attempt that waited for its connection is not sent to a member that drains by then", two, R"(
+        d.1 expect call:after=1
+        a send startup write:1
+        a expect up ready
+        m1.1 expect startup
+        d.1 send list:2:changes:m1=terminating
+        d.1 expect call:after=2
+        m1.1 wait 40
+        m1.1 send up
+        m1.1 expect end)");
+    play("connections are closed before the members' idle limit",
+         {1, {{"limits", {{"conn-idle-us", 100000}}}}, 1024, true}, R"(
+        a send startup read:1
+        a expect up ready
+        m1.1 expect startup
+        m1.1 send up
+        m1.1 expect query:id=1
+        m1.1 send row:v
+        a expect row:v ready
+        m1.1 expect end)");
+}
+
+void discovery() {
+    play("the next watch follows each answer, and a failed one is left to the module", {}, R"(
+        d.1 expect call:after=1
+        d.1 send list:5:changes:
+        d.1 expect call:after=5
+        d.1 send status:503
+        d.1 expect end
+        d.2 expect call:after=5)");
+    // A kept connection may close just as the next call crosses: guards against counting that as a failure.
+    play("a connection closed between calls is opened again at once", {}, R"(
+        d.1 expect call:after=1
+        d.1 send list:5:full:m1=in_service
+        d.1 expect call:after=5
+        d.1 close
+        d.2 expect call:after=5)");
+    Setup unknown;
+    unknown.known = false;
+    play("members come with the first list", unknown, R"(
+        d.1 expect call:after=1
+        d.1 send list:2:full:m1=in_service
+        d.1 expect call:after=2
+        a send startup empty
+        a expect up ready empty ready)");
+    play("an answer that is no list is a failure", {}, R"(
+        d.1 expect call:after=1
+        d.1 send hex:485454502f312e3120323030204f4b0d0a436f6e74656e742d4c656e6774683a20330d0a0d0a7b7d7d
+        d.1 expect end
+        d.2 expect call:after=1)");
+}
+
+void limits() {
+    // 117 descriptors leave 36 to clients: guards against running out of them for clients that only wait.
+    std::string many;
+    for (int i = 0; i < 60; ++i) {
+        const auto name = "c" + std::to_string(i);
+        many += name + " send startup\n" + name + " expect up ready\n";
+    }
+    Setup few;
+    few.sockets = 117;
+    play("a client that idles makes room for one that comes", few, many + R"(
+        c0 expect end
+        c59 send empty
+        c59 expect empty ready)");
+    std::string busy;
+    for (int i = 0; i < 36; ++i)
+        busy += "c" + std::to_string(i) + " send startup read:" + std::to_string(i) + "\n";
+    play("where all are busy, a client more is refused with advice", few, busy + R"(
+        c35 expect up ready
+        x send startup read:99
+        x expect up ready error:53300:1000 ready end)");
+}
+
+void stopping() {
+    play("after SIGTERM what was taken is finished and new clients are served", {}, R"(
+        a send startup read:1
+        b send startup
+        b expect up ready
+        a expect up ready
+        m1.1 expect startup
+        m1.1 send up
+        m1.1 expect query:id=1
+        proxy close
+        b expect end
+        c send startup read:2
+        c expect up ready
+        m1.2 expect startup
+        m1.2 send up
+        m1.2 expect query:id=2
+        m1.2 send row:late
+        c expect row:late ready end
+        m1.1 send row:v
+        a expect row:v ready end
+        proxy wait over)");
+}
+
+}  // namespace
+
+int main() {
+    std::signal(SIGPIPE, SIG_IGN);
+    clients();
+    members();
+    discovery();
+    limits();
+    stopping();
+}
--- /dev/null
+++ b/tests/parser_tests.cpp
@@ -0,0 +1,267 @@
+// The pure parts of the network code: parsers get whole, split, oversized and garbage input.
+#include <random>
+
+#include "check.h"
+#include "config/config.h"
+#include "deadlines/deadlines.h"
+#include "discovery/list.h"
+#include "http/response.h"
+#include "invariant/invariant.h"
+#include "members/reply.h"
+#include "net/quota.h"
+#include "pgwire/build.h"
+#include "pgwire/statement.h"
+
+namespace {
+
+using namespace sloestack;
+using nlohmann::json;
+
+std::string garbage(std::mt19937& random, std::size_t size) {
+    std::string out(size, '\0');
+    for (auto& c : out) c = static_cast<char>(random());
+    return out;
+}
+
+void frames() {
+    std::string bytes;
+    pgwire::Builder(bytes).query("SELECT 1").ready();
+    for (std::size_t i = 0; i < 14; ++i) CHECK(!pgwire::next_message(bytes.substr(0, i)));
+    const auto m = pgwire::next_message(bytes);
+    CHECK(m && m->type == 'Q' && m->size == 14);
+    CHECK(pgwire::next_message(std::string_view(bytes).substr(m->size))->type == 'Z');
+    CHECK_THROWS(pgwire::next_message(std::string("Q\0\0\0\3", 5)), pgwire::BadMessage);
+    // Refused by its length alone: guards against waiting for, and keeping, what is too large.
+    CHECK_THROWS(pgwire::next_message("Q\x7f\xff\xff\xff"), pgwire::BadMessage);
+    CHECK_THROWS(pgwire::next_startup(std::string("\0\1\0\0", 4)), pgwire::BadMessage);
+    CHECK_THROWS(pgwire::read_startup(std::string("\0\2\0\0", 4)), pgwire::BadMessage);
+    CHECK(pgwire::read_startup(std::string("\0\3\0\2", 4)).minor == 2);
+}
+
+void statements() {
+    const std::string good =
+        "SELECT data FROM facts WHERE code = '7f/*' "
+        "/* id=9b,c=view,d=480,k=5c,cluster=2,after=1767225600123,r=1 */";
+    const auto t = pgwire::read_tags(good);
+    CHECK(t.id == "9b" && t.klass == "view" && t.left_ms == 480 && t.cluster == 2 && t.repeat);
+    CHECK(t.quoted == "7f/*" && t.key == "5c" && t.after_ms == 1767225600123);
+    const traffic::Statement s{good, t.left_at, t.left_size};
+    CHECK(s.with_time_left(12'345) == std::string(good).replace(good.find("480"), 3, "12"));
+    CHECK(s.with_time_left(-1) == std::string(good).replace(good.find("480"), 3, "1"));
+    for (const char* bad :
+         {"SELECT 1", "/* id=1,c=v,d=1,cluster=0 */", "SELECT '1' /* c=v,d=1,cluster=0 */",
+          "SELECT '1' /* id=1,d=1,cluster=0 */", "SELECT '1' /* id=1,c=v,cluster=0 */",
+          "SELECT '1' /* id=1,c=v,d=1 */", "SELECT '1' /* id=1,c=v,d=-1,cluster=0 */",
+          "SELECT '1' /* id=1,c=v,d=99999999999999999999,cluster=0 */",
+          "SELECT '1' /* id=1,c=v,d=1,cluster=x */", "SELECT '1' /* id=1,,c=v,d=1,cluster=0 */",
+          "SELECT '1' /*/", "SELECT '1 /* id=1,c=v,d=1,cluster=0 */",
+          "SELECT '1' /* id=1,c=v,d=1,cluster=70000 */"})
+        CHECK_THROWS(pgwire::read_tags(bad), pgwire::BadMessage);
+    CHECK(pgwire::is_blank(" ;\n") && !pgwire::is_blank("x"));
+    std::mt19937 random(1);
+    for (int i = 0; i < 2000; ++i) {
+        auto text = good;
+        text[random() % text.size()] = static_cast<char>(random());
+        try {
+            CHECK(pgwire::read_tags(text).left_at < text.size());
+        } catch (const pgwire::BadMessage&) {
+        }
+    }
+}
+
+void responses() {
+    const std::string sized = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+    const std::string chunked =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3;x=y\r\nllo\r\n0\r\nA: b\r\n\r\n";
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n" + sized;
+    for (const auto& text : {sized, chunked, interim})
+        for (std::size_t step = 1; step <= text.size(); ++step) {
+            http::ResponseParser p;
+            for (std::size_t at = 0; at < text.size();) at += p.feed(std::string_view(text).substr(at, step));
+            CHECK(p.done() && p.status() == 200 && p.body() == "hello" && p.keeps_open());
+        }
+    http::ResponseParser more;
+    CHECK(more.feed(sized + "HTTP/1.1") == sized.size());
+    http::ResponseParser closed;
+    closed.feed("HTTP/1.0 503 No\r\n\r\nbody");
+    CHECK(!closed.done());
+    closed.end_of_input();
+    CHECK(closed.done() && closed.status() == 503 && !closed.keeps_open() && closed.body() == "body");
+    for (const std::string& bad :
+         {std::string("SSH-2.0-x\r\n"), std::string("HTTP/1.1 200 OK\r\nContent-Length: x\r\n"),
+          "HTTP/1.1 200 OK\r\nX: " + std::string(20'000, 'x'), std::string("HTTP/1.1 200 OK\r\nno colon\r\n"),
+          std::string("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n"),
+          std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n")}) {
+        http::ResponseParser p;
+        CHECK_THROWS(p.feed(bad), http::BadResponse);
+    }
+    std::mt19937 random(2);
+    for (int i = 0; i < 2000; ++i) {
+        http::ResponseParser p;
+        try {
+            p.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + garbage(random, 100));
+        } catch (const http::BadResponse&) {
+        }
+    }
+}
+
+members::Reply reply_to(const std::string& bytes, bool& whole) {
+    members::Reply out;
+    std::string_view left = bytes;
+    whole = false;
+    while (const auto m = pgwire::next_message(left)) {
+        whole = out.take(*m);
+        left.remove_prefix(m->size);
+    }
+    return out;
+}
+
+void replies() {
+    using nettletrestle::Outcome;
+    using nettletrestle::Role;
+    std::string bytes;
+    bool whole = false;
+    pgwire::Builder(bytes)
+        .row_description("data", 17, true)
+        .data_row("v")
+        .complete("SELECT 1")
+        .parameter("role", "primary")
+        .parameter("applied_ms", "1767225600123")
+        .parameter("load", "x0=1767225600.5,x1=0,active=7")
+        .ready();
+    auto r = reply_to(bytes, whole);
+    CHECK(whole && r.outcome() == Outcome::ok && r.value()->bytes == "v" && r.value()->type == 17);
+    CHECK(r.value()->binary && r.value()->tag == "SELECT 1" && r.value()->column == "data");
+    CHECK(r.standing().role == Role::primary && r.standing().position == 1767225600123000);
+    CHECK(r.reported().role == Role::replica && r.reported().position == 1767225600500000);
+    CHECK(!members::read_load("x0=0,x1=2,,=,x0").position && !members::read_load("x0=inf").position);
+    for (const auto& [code, outcome] : {std::pair{"25006", Outcome::miss},
+                                        {"72000", Outcome::miss},
+                                        {"53300", Outcome::full},
+                                        {"XX000", Outcome::error},
+                                        {"08P01", Outcome::error}}) {
+        bytes.clear();
+        pgwire::Builder(bytes).error("ERROR", code, "x").ready();
+        CHECK(reply_to(bytes, whole).outcome() == outcome && whole);
+    }
+    // An end without a row serves nothing: guards against an answer that no member made.
+    bytes.clear();
+    pgwire::Builder(bytes).complete("SELECT 0").ready();
+    CHECK(reply_to(bytes, whole).outcome() == Outcome::error);
+    bytes.clear();
+    pgwire::Builder(bytes).row_description("data", 17, true).data_row("v");
+    CHECK(!reply_to(bytes, whole).outcome() && !whole);
+    bytes.clear();
+    pgwire::Builder(bytes).ready();
+    CHECK_THROWS(reply_to(bytes, whole), pgwire::BadMessage);
+    std::mt19937 random(3);
+    for (int i = 0; i < 5000; ++i) {
+        const auto body = garbage(random, random() % 40);
+        try {
+            members::Reply().take({"STDCEINZR"[random() % 9], body, body.size()});
+        } catch (const pgwire::BadMessage&) {
+        }
+    }
+}
+
+void lists() {
+    discovery::Reader reader({"a", "b"});
+    const auto list = reader.read(std::string(
+        R"({"revision":41,"complete":true,"members":[{"id":"s-5be2a07c","host_port":"10.1.0.18:5433",
+        "locality":"b","flavor":"m2","cell":3,"phase":"terminating","size":1.0,"up_since_ms":12,
+        "role":"primary"}]})"));
+    CHECK(list.revision == 41 && list.complete && list.members.size() == 1);
+    const auto& s = list.members[0].server;
+    CHECK(s.server == 0x5be2a07c && s.zone == 1 && s.group == 3 && s.started_at == 12'000 &&
+          s.listed_primary);
+    CHECK(s.state == nettletrestle::ServerState::draining && list.members[0].address == "10.1.0.18:5433");
+    for (const char* bad : {"", "{}", "[]", R"({"revision":1,"complete":true,"members":[{}]})",
+                            R"({"revision":1,"complete":true,"members":[{"id":"x","phase":"odd"}]})",
+                            R"({"revision":1,"complete":true,"members":[{"id":7,"phase":"gone"}]})"})
+        CHECK_THROWS(reader.read(std::string(bad)), std::runtime_error);
+    discovery::Numbers numbers;
+    CHECK(numbers.of("a-00000001") == 1 && numbers.of("b-00000001") == 2 && numbers.of("a-00000001") == 1);
+}
+
+void configuration() {
+    CHECK(
+        config::flatten(json::parse(R"({"a":{"b":[{"c":true},{"c":"x y"}],"d":[1,2.5],"e":[]},"f":null})")) ==
+        "a.b.count=2\na.b.0.c=true\na.b.1.c=x_y\na.d=1,2.5\na.e=\nf=\n");
+    const auto message = [](const json& file, const char* listen = nullptr) -> std::string {
+        try {
+            config::read(file, [&](const char* name) {
+                return std::string(name) == "EDGE_LISTEN" ? listen : nullptr;
+            });
+        } catch (const config::BadConfig& error) {
+            return error.what();
+        }
+        return "accepted";
+    };
+    json file{{"name", "n"}, {"discovery", "127.0.0.1:1"}, {"seed", "xyz"}};
+    CHECK(message(file).find("EDGE_LISTEN") == 0);
+    CHECK(message(file, "10.0.0.4").find("EDGE_LISTEN") == 0);
+    CHECK(message(file, "10.0.0.4:70000").find("EDGE_LISTEN") == 0);
+    CHECK(message(file, "10.0.0.4:5433").find("seed") == 0);
+    file["seed"] = "8c1f30d27a5be964";
+    CHECK(message(file, "10.0.0.4:5433").find("limits") == 0);
+    file["limits"] = {{"sockets", "many"}};
+    CHECK(message(file, "10.0.0.4:5433").find("limits.sockets") == 0);
+    file["limits"] = {{"sockets", 1024}};
+    CHECK(message(file, "10.0.0.4:5433").find("settings") == 0);
+    file["settings"] = {{"classes", "none"}};
+    CHECK(message(file, "10.0.0.4:5433").find("settings: classes.count") == 0);
+}
+
+void deadlines() {
+    const Clock clock;
+    Deadlines all(clock);
+    std::string order;
+    const Time past = clock.now() - 1000;
+    Deadline taken_back;
+    taken_back.set(all, past, [&] { order += "x"; });
+    all.add(past, [&] { order += "b"; });
+    all.add(past - 1, [&] {
+        order += "a";
+        taken_back.clear();
+        all.add(past, [&] { order += "c"; });  // due already, but for the next sweep
+    });
+    all.add(clock.now() + 3'600'000'000, [&] { order += "never"; });
+    all.sweep();
+    CHECK(order == "ab");
+    all.sweep();
+    CHECK(order == "abc" && all.size() == 1);
+}
+
+void quotas() {
+    net::Quota two(2);
+    auto a = two.take();
+    auto b = two.take();
+    CHECK(a && b && two.full() && !two.take());
+    b = net::Slot();
+    CHECK(two.taken() == 1);
+    { const auto c = std::move(a); }
+    CHECK(two.taken() == 0 && !a);
+    constexpr auto all = net::share(1024);
+    static_assert(all.clients + all.overflow + all.members < 1024 - 16, "room for the process's own");
+}
+
+void invariants() {
+    static invariant::Counter counter("test");  // counters stay: they are linked for the report
+    CHECK(counter.holds(true) && counter.broken() == 0);
+    CHECK(!counter.holds(false) && counter.broken() == 1);
+}
+
+}  // namespace
+
+int main() {
+    frames();
+    statements();
+    responses();
+    replies();
+    lists();
+    configuration();
+    deadlines();
+    quotas();
+    invariants();
+    std::puts("9 passed, 0 failed");
+}
