--- a/src/clients/door.cpp
+++ b/src/clients/door.cpp
@@ -5,7 +5,8 @@
 namespace sloestack::clients {
 namespace {
 
-constexpr Micros kPause = 20'000;         // of the listener, when there are no descriptors
+constexpr Micros kPause = 20'000;  // of the listener, when there are no descriptors
+constexpr Micros kComplainEvery = 1'000'000;
 constexpr Micros kStillComing = 500'000;  // how long after a stop the front may still send clients
 constexpr Micros kLastArrival = 100'000;  // and how long after the last of them the listener goes
 
@@ -42,8 +43,14 @@
 
 // Neither a descriptor nor a share of them is left: those who come wait in the kernel's queue for a moment.
 void Door::out_of_descriptors() {
+    const Time now = deadlines_.now();
+    if (now - complained_at_ > kComplainEvery) {
+        complained_at_ = now;
+        log::line("out of descriptors", std::to_string(sessions_.size()) + " clients");
+    }
+    if (!listener_) return;
     listener_->pause();
-    resume_.set(deadlines_, deadlines_.now() + kPause, [this] {
+    resume_.set(deadlines_, now + kPause, [this] {
         if (quota_.full() && overflow_.full()) return out_of_descriptors();
         if (listener_) listener_->resume();
     });
