--- a/src/clients/door.cpp
+++ b/src/clients/door.cpp
@@ -7,8 +7,9 @@
 
 constexpr Micros kPause = 20'000;  // of the listener, when there are no descriptors
 constexpr Micros kComplainEvery = 1'000'000;
-constexpr Micros kStillComing = 500'000;  // how long after a stop the front may still send clients
-constexpr Micros kLastArrival = 100'000;  // and how long after the last of them the listener goes
+constexpr Micros kStillComing = 500'000;    // how long after a stop the front may still send clients
+constexpr Micros kUnfinished = 60'000'000;  // longer than any client waits for an answer
+constexpr Micros kLastArrival = 100'000;    // and how long after the last of them the listener goes
 
 }  // namespace
 
@@ -88,8 +89,12 @@
         resume_.clear();
         listener_.reset();
         stopped_ = true;
+        listened_until_ = deadlines_.now();
     }
     close_idle_sessions();
+    // What is left then is no request, only the beginning of one.
+    if (deadlines_.now() > listened_until_ + kUnfinished)
+        while (!sessions_.empty()) sessions_.front()->close();
     stop_.set(deadlines_, deadlines_.now() + kLastArrival, [this] { stop_listening(); });
 }
 
--- a/src/clients/door.h
+++ b/src/clients/door.h
@@ -44,7 +44,7 @@
     std::map<const Session*, Sessions::iterator> places_;
     std::unique_ptr<net::Listener> listener_;
     Deadline resume_, stop_;
-    Time accepted_at_ = 0, complained_at_ = 0;
+    Time accepted_at_ = 0, complained_at_ = 0, listened_until_ = 0;
     bool stopped_ = false;
 };
 
--- a/src/clients/session.cpp
+++ b/src/clients/session.cpp
@@ -237,7 +237,9 @@
 void Session::answered(const std::string& bytes) {
     request_ = 0;
     reply(bytes);
-    if (office_.closing || turned_away_) return finish();
+    // A stopping proxy ends connections between requests only: guards against losing a query that was sent
+    // right behind the one just answered.
+    if (turned_away_ || (office_.closing && between_requests())) return finish();
     read_all();
 }
 
--- a/tests/net/scenarios.cpp
+++ b/tests/net/scenarios.cpp
@@ -252,6 +252,19 @@
 }
 
 void stopping() {
+    play("after SIGTERM a query right behind another is still answered", {}, R"(
+        a send startup read:1 read:2
+        a expect up ready
+        m1.1 expect startup
+        m1.1 send up
+        m1.1 expect query:id=1
+        proxy close
+        m1.1 send row:v
+        a expect row:v ready
+        m1.1 expect query:id=2
+        m1.1 send row:w
+        a expect row:w ready end
+        proxy wait over)");
     play("after SIGTERM what was taken is finished and new clients are served", {}, R"(
         a send startup read:1
         b send startup
