--- a/src/main.cpp
+++ b/src/main.cpp
@@ -54,7 +54,8 @@
         return 0;
     }
     if (command == "serve") return serve(config::load_from_environment());
-    throw std::invalid_argument("command: serve, check or version is wanted");
+    log::line("bad command line", "command: serve, check or version is wanted");
+    return kBadInput;
 }
 
 }  // namespace
