Believe no report older than the answer that named a replica, and forget members long gone

Checked in the log and the code: answers carry the member's own role and a load report up to 170 ms older; learn() took the report first and the answer second, so each answer made the old primary the primary and took it back, and cleared the speeds of the whole group each time. Ruled out: the list (nothing changed in it then) and the reload (the flips begin 0.3 s before it). Line at fault: Impl::learn, which took a role whatever its age. A primary's report tells its time as its position, so one older than the word "replica" says nothing about now. Also: members told gone were kept in the module's tables for good and were looked at every 5 ms; they go after 60 s.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -71,6 +71,7 @@
 constexpr double kDrainSafe = 0.5;             // of the grace: a draining primary may still be used
 constexpr Micros kWatchRetry = 700'000;        // us; first wait after a failed call for the list
 constexpr Micros kWatchRetryMost = 3'000'000;  // us; longest such wait, well inside the ask interval
+constexpr Micros kForgetAfter = 60'000'000;    // us; a member told gone is kept so long
 constexpr int kScanMost = 64;                  // waiting requests looked at in a round, per class
 constexpr std::uint32_t kTickToken = 1, kWatchToken = 2;
 
@@ -130,8 +131,7 @@
 // ---- state ----
 struct Out {
     Time sent_at;
-    double expected_us;
-    double work;
+    double expected_us, work;
 };
 struct Server {
     ServerId id = 0;
@@ -298,9 +298,9 @@
         dispatch(r);
     }
 
-    void on(const AnswerStarted& e) {  // from here on the answer belongs to the client
+    void on(const AnswerStarted& e) {
         requests_.erase(e.request);
-    }
+    }  // the answer is the client's from here on
     void on(const ClientGone& e) {
         if (auto* r = find_request(e.request)) close(*r, -1);
     }
@@ -353,8 +353,7 @@
         s.out_work += work;
         if (is_cold(s)) s.cold_credit -= work;
         r.attempts.push_back(Attempt{s.id});
-        ++r.open;
-        r.queued = false;
+        ++r.open, r.queued = false;
         actions_->emplace_back(Send{r.a.request, s.id, cap});
         return true;
     }
@@ -444,8 +443,7 @@
         auto& g = group(s.group);
         if (st.position && *st.position <= now_) {
             if (*st.position >= s.position) {
-                s.position = *st.position;
-                s.heard_at = now_;
+                s.position = *st.position, s.heard_at = now_;
                 remember(s.history, {now_, s.position});
             }
             if (st.role == Role::primary && *st.position > g.primary_position) {
@@ -454,7 +452,10 @@
             }
             s.lag = std::max<Micros>(0, (g.primary ? now_ : g.primary_position) - s.position);
         }
-        if (st.role == Role::unknown) return;
+        // A report made before an answer named the replica: guards against a role that flips with every
+        // answer.
+        const bool old = st.role == Role::primary && s.role == Role::replica && st.position < s.role_at;
+        if (st.role == Role::unknown || (st.position && old)) return;
         s.role_at = now_;
         if (st.role == Role::primary) {
             const bool newest = !st.position || *st.position >= g.primary_position;
@@ -496,11 +497,19 @@
     }
     // A mark may go once all members have passed it. The newest such still binds sessions without a mark: a
     // member that joins later may start from an older copy.
-    void forget_marks() {
+    void forget_past() {
+        forgot_at_ = now_;
         std::map<int, Time> passed;
-        for (const auto& [id, s] : servers_)
-            if (s.told_at < 0 || s.draining)
-                passed[s.group] = std::min(passed.emplace(s.group, now_).first->second, s.position);
+        for (auto it = servers_.begin(); it != servers_.end();) {
+            const auto& s = it->second;
+            const bool left = s.told_at >= 0 && !s.draining;
+            if (!left) passed[s.group] = std::min(passed.emplace(s.group, now_).first->second, s.position);
+            // Guards against growth where members are replaced for good.
+            const bool past = left && s.out.empty() && now_ - s.told_at > kForgetAfter;
+            auto& members = group(s.group).members;
+            if (past) members.erase(std::find(members.begin(), members.end(), s.id));
+            it = past ? servers_.erase(it) : std::next(it);
+        }
         for (auto it = marks_.begin(); it != marks_.end();) {
             auto& g = group(it->first.first);
             const bool past = it->second < passed[g.id];
@@ -594,8 +603,7 @@
     void lose_primary(Group& g, const char* why) {
         if (!g.primary) return;
         log("primary lost: server ", servers_[*g.primary], why);
-        g.primary.reset();
-        g.lost_at = now_;
+        g.primary.reset(), g.lost_at = now_;
     }
     // With no primary known, now and then one write goes to a member that may be it; others decline.
     Server* search_primary(Group& g, const Request& r) {
@@ -613,10 +621,7 @@
     }
 
     // ---- cold starts ----
-    void make_cold(Server& s, Time since) {
-        s.cold_since = since;
-        s.cold_at = -1;
-    }
+    static void make_cold(Server& s, Time since) { s.cold_since = since, s.cold_at = -1; }
     double warm_share(const Server& s) const {
         if (s.cold_since < 0 || now_ - s.cold_since >= set_.warm_after_us) return 1;
         const double age = num(now_ - s.cold_since) / num(set_.warm_after_us);
@@ -668,8 +673,7 @@
         if (answered) s.answered_at = now_, s.cuts = 0;
         if (answered && s.ejected) restore(s);
         if (e.outcome == Outcome::ok) s.carried.add(now_, out.work);
-        // A time-out is a latency too: guards against members that answer a few requests well and lose the
-        // rest.
+        // A time-out is a latency too: guards against members that answer a few well and lose the rest.
         const auto* r = find_request(e.request);
         if (r && (e.outcome == Outcome::ok || e.outcome == Outcome::timeout)) {
             auto& u = usual_[index(*r)];
@@ -686,8 +690,7 @@
     }
     void eject(Server& s, bool cut) {
         if (s.ejected) return;
-        s.ejected = true;
-        s.ejected_at = now_;
+        s.ejected = true, s.ejected_at = now_;
         s.trial_at = now_ + (s.trial_wait = kTrialFirst);
         log("server out: ", s, cut ? " cut" : " silent");
         auto& g = group(s.group);
@@ -696,8 +699,7 @@
     void restore(Server& s) {
         log("server back: ", s);
         if (now_ - s.ejected_at > kShortAbsence) make_cold(s, now_);
-        s.ejected = false;
-        s.slowness = 1;
+        s.ejected = false, s.slowness = 1;
     }
     // How unlikely its silence is: the sum, over all it holds, of the time unanswered over the expected one.
     // Guards against verdicts on one slow request; slower to find a hung server that holds just one.
@@ -851,10 +853,7 @@
             auto* r = find_request(id);
             if (r && r->open == 0) give_up(*r, 0);
         }
-        if (now_ - forgot_at_ > kRateWindow) {
-            forgot_at_ = now_;
-            forget_marks();
-        }
+        if (now_ - forgot_at_ > kRateWindow) forget_past();
     }
 
     Settings set_;
