Serve clients on after SIGTERM while they ask on, and keep no name for good

The logs show n1 told to stop at 13.02 s, over at 13.72 s and back at 17.40 s, n0 told at 16.02 s and over at 16.59 s: for 0.8 s no proxy was there, and clients that still held connections had been sent away at once. Checked: a restart's length does not depend on how soon the proxy ends (17.40 s again with a later end). Ruled out: members (65 % of the attempts of those seconds were never made). Lines at fault: Door::stop and stop_listening, which closed every resting connection at the signal and each other one after its next answer.

Now connections in use are closed 0.8 s before the longest wait of any class (3 s at most) is over, those at rest for 0.5 s early, each between requests; what still waits 0.5 s after it is told 57P01, so that a kill finds nothing open. Also: names of members that are gone kept their numbers for good; only the last 1,024 of them do now.

--- a/src/clients/door.cpp
+++ b/src/clients/door.cpp
@@ -1,5 +1,7 @@
 #include "clients/door.h"
 
+#include <algorithm>
+
 #include "log/log.h"
 
 namespace sloestack::clients {
@@ -7,21 +9,23 @@
 
 constexpr Micros kPause = 20'000;  // of the listener, when there are no descriptors
 constexpr Micros kComplainEvery = 1'000'000;
-constexpr Micros kStillComing = 500'000;    // how long after a stop the front may still send clients
-constexpr Micros kUnfinished = 60'000'000;  // longer than any client waits for an answer
-constexpr Micros kLastArrival = 100'000;    // and how long after the last of them the listener goes
+// After a stop. The proxy may be killed once the longest wait of any client, counted as 3 s at most, and 0.7
+// s more have passed; nothing may be unanswered then.
+constexpr Micros kLongestWait = 3'000'000;
+constexpr Micros kStillComing = 500'000;  // how long the front may still send clients
+constexpr Micros kLastArrival = 100'000;  // and how long after the last of them the listener goes
+constexpr Micros kRests = 500'000;        // a connection not used for that long is closed early
+constexpr Micros kLeaveEarly = 800'000;   // before the longest wait is over: from then on all are closed
+constexpr Micros kLastAnswer = 500'000;   // after it, what still waits is told that it has failed
+constexpr Micros kLook = 50'000;
 
 }  // namespace
 
 Door::Door(net::Loop& loop, Deadlines& deadlines, net::Quota& quota, net::Quota& overflow,
            net::Ledger& ledger, const sockaddr_in& at, traffic::Desk& desk,
-           std::vector<std::string> class_names, bool sessions_named)
-    : loop_(loop), deadlines_(deadlines), quota_(quota), overflow_(overflow), office_{loop,
-                                                                                      deadlines,
-                                                                                      desk,
-                                                                                      ledger,
-                                                                                      std::move(class_names),
-                                                                                      sessions_named} {
+           std::vector<std::string> class_names, bool sessions_named, Micros longest_wait)
+    : loop_(loop), deadlines_(deadlines), quota_(quota), overflow_(overflow), office_{loop, deadlines, desk, ledger, std::move(class_names), sessions_named},
+      longest_wait_(std::min(longest_wait, kLongestWait)) {
     listener_ = std::make_unique<net::Listener>(
         loop_, at, [this](evutil_socket_t fd) { accepted(fd); }, [this] { out_of_descriptors(); });
 }
@@ -69,36 +73,35 @@
     return false;
 }
 
-void Door::close_idle_sessions() {
+void Door::stop() {
+    if (stopping_since_) return;
+    stopping_since_ = deadlines_.now();
+    log::line("stopping", std::to_string(sessions_.size()) + " clients connected");
+    wind_down();
+}
+
+// Clients may go on with the connections they have, and where the other proxies are being started anew there
+// is nowhere else for them to go: so those in use are closed late, those that rest early, each between
+// requests.
+void Door::wind_down() {
+    const Time now = deadlines_.now(), stopped_for = now - stopping_since_;
+    if (listener_ && stopped_for >= kStillComing && now >= accepted_at_ + kLastArrival) stop_listening();
+    office_.closing = stopped_for >= std::max(kStillComing, longest_wait_ - kLeaveEarly);
+    const bool at_once = stopped_for >= longest_wait_ + kLastAnswer;
+    if (at_once) stop_listening();
     for (auto it = sessions_.begin(); it != sessions_.end();) {
         auto& s = **it++;  // closing takes it off the list
-        if (s.between_requests()) s.finish();
+        if (at_once)
+            s.abandon();
+        else if (s.between_requests() && (office_.closing || s.quiet_since() < now - kRests))
+            s.finish();
     }
-}
-
-void Door::stop() {
-    if (office_.closing) return;
-    office_.closing = true;
-    log::line("stopping", std::to_string(sessions_.size()) + " clients connected");
-    close_idle_sessions();
-    stop_.set(deadlines_, deadlines_.now() + kStillComing, [this] { stop_listening(); });
+    stop_.set(deadlines_, now + kLook, [this] { wind_down(); });
 }
 
 void Door::stop_listening() {
-    const Time quiet_from = accepted_at_ + kLastArrival;
-    if (listener_ && quiet_from > deadlines_.now())
-        return stop_.set(deadlines_, quiet_from, [this] { stop_listening(); });
-    if (listener_) {
-        resume_.clear();
-        listener_.reset();
-        stopped_ = true;
-        listened_until_ = deadlines_.now();
-    }
-    close_idle_sessions();
-    // What is left then is no request, only the beginning of one.
-    if (deadlines_.now() > listened_until_ + kUnfinished)
-        while (!sessions_.empty()) sessions_.front()->close();
-    stop_.set(deadlines_, deadlines_.now() + kLastArrival, [this] { stop_listening(); });
+    resume_.clear();
+    listener_.reset();
 }
 
 void Door::used(Session& session) { sessions_.splice(sessions_.end(), sessions_, places_.at(&session)); }
--- a/src/clients/door.h
+++ b/src/clients/door.h
@@ -14,13 +14,14 @@
 public:
     Door(net::Loop& loop, Deadlines& deadlines, net::Quota& quota, net::Quota& overflow, net::Ledger& ledger,
          const sockaddr_in& at, traffic::Desk& desk, std::vector<std::string> class_names,
-         bool sessions_named);
+         bool sessions_named, Micros longest_wait);
     ~Door();
 
-    // Closes down in order: new clients are still served for a while, each connection is closed between its
-    // requests, and over() holds once the last answer has left.
+    // Closes down in order: clients are still served for a while, each connection is closed between its
+    // requests, and over() holds once the last answer has left. `longest_wait`, of any client for an answer,
+    // bounds all of it.
     void stop();
-    bool over() const { return stopped_ && sessions_.empty(); }
+    bool over() const { return stopping_since_ && !listener_ && sessions_.empty(); }
     std::uint16_t port() const { return listener_->port(); }
     std::size_t sessions() const { return sessions_.size(); }
 
@@ -30,7 +31,7 @@
     void accepted(evutil_socket_t fd);
     void out_of_descriptors();
     bool make_room();
-    void close_idle_sessions();
+    void wind_down();
     void stop_listening();
     void used(Session& session) override;
     void over(Session& session) override;
@@ -44,8 +45,8 @@
     std::map<const Session*, Sessions::iterator> places_;
     std::unique_ptr<net::Listener> listener_;
     Deadline resume_, stop_;
-    Time accepted_at_ = 0, complained_at_ = 0, listened_until_ = 0;
-    bool stopped_ = false;
+    Micros longest_wait_;
+    Time accepted_at_ = 0, complained_at_ = 0, stopping_since_ = 0;
 };
 
 }  // namespace sloestack::clients
--- a/src/clients/session.cpp
+++ b/src/clients/session.cpp
@@ -309,6 +309,14 @@
     limit_.set(office_.deadlines, office_.deadlines.now() + kLinger, [this] { close(); });
 }
 
+void Session::abandon() {
+    if (!request_) return close();
+    office_.desk.withdraw(std::exchange(request_, 0));
+    give_back_id();
+    say_error(pgwire::code::kAdminShutdown, "the proxy is stopping");
+    finish();
+}
+
 void Session::close() {
     if (state_ == State::closed) return;
     state_ = State::closed;
--- a/src/clients/session.h
+++ b/src/clients/session.h
@@ -2,6 +2,7 @@
 // so that answers leave in the order of the questions.
 #pragma once
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <unordered_set>
@@ -47,6 +48,9 @@
     bool between_requests() const;
     // Of no use to a client that asks: it has said nothing for a while since it came, or it is ending.
     bool idles_at_the_door() const;
+    Time quiet_since() const { return std::max({came_at_, read_at_, answered_at_}); }
+    // Answers at once that what was asked has failed, and ends.
+    void abandon();
     // Ends the session once what is written has left.
     void finish();
     void close();
--- a/src/discovery/list.cpp
+++ b/src/discovery/list.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <stdexcept>
+#include <utility>
 
 namespace sloestack::discovery {
 namespace {
@@ -31,10 +32,26 @@
 }  // namespace
 
 ServerId Numbers::of(const std::string& name) {
-    if (const auto known = by_name_.find(name); known != by_name_.end()) return known->second;
+    if (const auto known = by_name_.find(name); known != by_name_.end()) {
+        if (const auto at = std::exchange(known->second.gone_at, 0)) gone_.erase(at);
+        return known->second.number;
+    }
     auto number = first_choice(name);
     while (!by_number_.emplace(number, name).second) ++number;
-    return by_name_[name] = number;
+    by_name_[name] = {number};
+    return number;
+}
+
+void Numbers::gone(const std::string& name) {
+    const auto known = by_name_.find(name);
+    if (known == by_name_.end() || known->second.gone_at) return;
+    known->second.gone_at = ++went_;
+    gone_.emplace(went_, name);
+    if (gone_.size() <= kMostGone) return;
+    const auto oldest = by_name_.find(gone_.begin()->second);
+    by_number_.erase(oldest->second.number);
+    by_name_.erase(oldest);
+    gone_.erase(gone_.begin());
 }
 
 traffic::Entry Reader::entry(const nlohmann::json& json) {
@@ -51,12 +68,29 @@
     return out;
 }
 
+void Reader::keep_numbers(const nlohmann::json& members, bool complete) {
+    std::set<std::string> named;
+    for (const auto& member : members) {
+        const auto& name = member.at("id").get_ref<const std::string&>();
+        if (state_of(member.at("phase").get<std::string>()) != ServerState::gone)
+            named.insert(name);
+        else
+            listed_.erase(name), numbers_.gone(name);
+    }
+    if (complete)
+        for (const auto& name : listed_)
+            if (!named.count(name)) numbers_.gone(name);
+    if (complete) listed_.clear();
+    listed_.merge(named);
+}
+
 List Reader::read(const nlohmann::json& json) {
     try {
         List out;
         out.revision = json.at("revision").get<std::int64_t>();
         out.complete = json.at("complete").get<bool>();
         for (const auto& member : json.at("members")) out.members.push_back(entry(member));
+        keep_numbers(json.at("members"), out.complete);
         return out;
     } catch (const nlohmann::json::exception& error) {
         throw std::runtime_error(error.what());
--- a/src/discovery/list.h
+++ b/src/discovery/list.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,15 +18,28 @@
     std::vector<traffic::Entry> members;
 };
 
-// Members have names; the decisions want small numbers. A name keeps its number for the life of the process,
-// and as far as possible it is the same at every proxy: equal decisions then mean the same member.
+// Members have names; the decisions want small numbers. A name keeps its number for as long as it is listed
+// and long after, and as far as possible it is the same at every proxy: equal decisions then mean the same
+// member.
 class Numbers {
 public:
     nettletrestle::ServerId of(const std::string& name);
+    // The name is listed no more. Guards against growth where members are replaced for good: of such names
+    // only the last `kMostGone` keep their numbers.
+    void gone(const std::string& name);
+    std::size_t size() const { return by_name_.size(); }
+
+    static constexpr std::size_t kMostGone = 1024;
 
 private:
-    std::map<std::string, nettletrestle::ServerId> by_name_;
+    struct Known {
+        nettletrestle::ServerId number;
+        std::uint64_t gone_at = 0;  // 0: listed
+    };
+    std::map<std::string, Known> by_name_;
     std::map<nettletrestle::ServerId, std::string> by_number_;
+    std::map<std::uint64_t, std::string> gone_;  // in the order they went
+    std::uint64_t went_ = 0;
 };
 
 class Reader {
@@ -37,9 +51,11 @@
 
 private:
     traffic::Entry entry(const nlohmann::json& json);
+    void keep_numbers(const nlohmann::json& members, bool complete);
 
     std::vector<std::string> zones_;
     Numbers numbers_;
+    std::set<std::string> listed_;
 };
 
 }  // namespace sloestack::discovery
--- a/src/pgwire/build.h
+++ b/src/pgwire/build.h
@@ -18,6 +18,7 @@
 constexpr std::string_view kNotSupported = "0A000";
 constexpr std::string_view kInvalidParameter = "22023";
 constexpr std::string_view kOutOfMemory = "53200";
+constexpr std::string_view kAdminShutdown = "57P01";
 constexpr std::string_view kSystemError = "58000";
 }  // namespace code
 
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -35,6 +35,12 @@
                        [](const auto& c) { return c.need == nettletrestle::Need::session; });
 }
 
+Micros longest_wait(const nettletrestle::Settings& s) {
+    Micros out = 0;
+    for (const auto& c : s.classes) out = std::max(out, c.deadline_us);
+    return out;
+}
+
 discovery::List known_list(discovery::Reader& lists, const nlohmann::json& known) {
     if (known.is_null()) return {};
     try {
@@ -62,9 +68,9 @@
                    [this](auto kind, const auto& entries) { pool_.listed(kind, entries); }});
     proxy_.listed(nettletrestle::ListKind::cached, std::move(known.members));
     proxy_.turn();
-    door_ = std::make_unique<clients::Door>(loop_, deadlines_, clients_, overflow_, ledger_, config.listen,
-                                            proxy_, config.settings.class_names,
-                                            sessions_named(config.settings.router));
+    door_ = std::make_unique<clients::Door>(
+        loop_, deadlines_, clients_, overflow_, ledger_, config.listen, proxy_, config.settings.class_names,
+        sessions_named(config.settings.router), longest_wait(config.settings.router));
     report();
 }
 
--- a/tests/parser_tests.cpp
+++ b/tests/parser_tests.cpp
@@ -8,6 +8,7 @@
 #include "http/response.h"
 #include "invariant/invariant.h"
 #include "members/reply.h"
+#include "net/ledger.h"
 #include "net/quota.h"
 #include "pgwire/build.h"
 #include "pgwire/statement.h"
@@ -195,6 +196,14 @@
                             R"({"revision":1,"complete":true,"members":[{"id":7,"phase":"gone"}]})"})
         CHECK_THROWS(reader.read(std::string(bad)), std::runtime_error);
     discovery::Numbers numbers;
+    // Guards against growth where members are replaced for good, and against forgetting one that is listed.
+    CHECK(numbers.of("kept-00000009") == 9);
+    for (std::uint32_t i = 0; i < 3000; ++i) {
+        const auto name = "gone-" + std::to_string(10'000'000 + i);
+        numbers.of(name);
+        numbers.gone(name);
+    }
+    CHECK(numbers.size() == discovery::Numbers::kMostGone + 1 && numbers.of("kept-00000009") == 9);
     CHECK(numbers.of("a-00000001") == 1 && numbers.of("b-00000001") == 2 && numbers.of("a-00000001") == 1);
 }
 
@@ -258,6 +267,11 @@
     CHECK(two.taken() == 1);
     { const auto c = std::move(a); }
     CHECK(two.taken() == 0 && !a);
+    net::Ledger ledger(10);
+    ledger.add(11);
+    CHECK(ledger.over());
+    ledger.remove(1);
+    CHECK(!ledger.over() && ledger.held() == 10);
     constexpr auto all = net::share(1024);
     static_assert(all.clients + all.overflow + all.members < 1024 - 16, "room for the process's own");
 }
