Pass values beyond 64 KiB, and take no break of a kept connection for a death

Lines at fault: kLargestMessage as bound of an answer (Link, Reply::longest); Impl::settle, which counted any reset towards "the process died"; Pool::link_answering's limit, which ran on although parts kept coming.

Now a value may have 1 MiB, an answer in parts is waited for while a part comes every 150 ms, a large one is no longer moved in memory for each part, and AttemptEnded says whether the connection was kept: its break counts no longer.

--- a/include/nettletrestle/router.h
+++ b/include/nettletrestle/router.h
@@ -102,8 +102,9 @@
     Outcome outcome = Outcome::ok;
     Micros latency_us = 0;
     bool request_ended = false;
-    Standing standing;  // of the answer itself
-    Standing reported;  // of a report that came with it, older
+    bool on_kept = false;  // it went out on a connection that had served before and may have been stale
+    Standing standing;     // of the answer itself
+    Standing reported;     // of a report that came with it, older
 };
 struct AnswerStarted {
     RequestId request = 0;
--- a/src/clients/door.cpp
+++ b/src/clients/door.cpp
@@ -24,7 +24,11 @@
 Door::Door(net::Loop& loop, Deadlines& deadlines, net::Quota& quota, net::Quota& overflow,
            net::Ledger& ledger, const sockaddr_in& at, traffic::Desk& desk,
            std::vector<std::string> class_names, bool sessions_named, Micros longest_wait)
-    : loop_(loop), deadlines_(deadlines), quota_(quota), overflow_(overflow), office_{loop, deadlines, desk, ledger, std::move(class_names), sessions_named},
+    : loop_(loop),
+      deadlines_(deadlines),
+      quota_(quota),
+      overflow_(overflow),
+      office_{loop, deadlines, desk, ledger, std::move(class_names), sessions_named},
       longest_wait_(std::min(longest_wait, kLongestWait)) {
     listener_ = std::make_unique<net::Listener>(
         loop_, at, [this](evutil_socket_t fd) { accepted(fd); }, [this] { out_of_descriptors(); });
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -683,10 +683,10 @@
                 (seen > s.slowness ? kSlowerStep : kFasterStep) * (std::min(seen, kSlowMost) - s.slowness);
             s.slowness = std::max(kSlowLeast, s.slowness);
         }
-        // Several in a row, not one: a flaky network breaks single connections of servers that are well.
-        // Slower by two requests on a server that died with little in flight.
-        if ((e.outcome == Outcome::connect_failed || e.outcome == Outcome::reset) && ++s.cuts >= kCutsInARow)
-            eject(s, true);
+        // Several in a row, not one: a flaky network breaks single connections of servers that are well, and
+        // stale ones break when used again. Slower by two requests on a server that died.
+        const bool cut = e.outcome == Outcome::connect_failed || e.outcome == Outcome::reset;
+        if (cut && !e.on_kept && ++s.cuts >= kCutsInARow) eject(s, true);
     }
     void eject(Server& s, bool cut) {
         if (s.ejected) return;
--- a/src/members/link.cpp
+++ b/src/members/link.cpp
@@ -6,7 +6,7 @@
 namespace sloestack::members {
 namespace {
 
-// Room for the largest answer: its value and what goes before and after it.
+// Room for the largest value and what goes before and after it.
 constexpr std::size_t kMostUnread = pgwire::kLargestValue + 32 * 1024;
 constexpr std::size_t kLongestGreeting = 8 * 1024;
 
@@ -39,7 +39,7 @@
     if (!SLOESTACK_INVARIANT(state_ == State::idle, "one query at a time on a link")) return;
     state_ = State::busy;
     reply_ = Reply();
-    answering_ = false;
+    begun_ = false;
     std::string out;
     out.reserve(statement.size() + 8);
     pgwire::Builder(out).query(statement);
@@ -71,24 +71,25 @@
     try {
         // A callback may break the link or give it its next query, but never destroys it at once.
         while (state_ != State::broken) {
-            const auto bytes = connection_->unread();
-            if (state_ == State::busy && !answering_ && !bytes.empty()) {
-                answering_ = true;
-                events_.link_answering(*this);
-            }
-            const auto message = pgwire::next_message(bytes, [this](char type) { return longest(type); });
-            if (!message) return;
+            const auto may_come = [this](char type) { return longest(type); };
+            const auto size = pgwire::size_of_next(connection_->unread(pgwire::kHead), may_come);
+            if (!size || connection_->held() < *size) break;
+            const auto message = pgwire::next_message(connection_->unread(*size), may_come);
             if (state_ == State::starting) {
                 start_up(*message);
                 continue;
             }
+            begun_ = true;
             const bool whole = reply_.take(*message);
             connection_->consume(message->size);
             if (!whole) continue;
             state_ = State::idle;
+            kept_ = true;
             auto reply = std::move(reply_);
             events_.link_answered(*this, reply);
         }
+        // A query that has only just gone out has no part of an answer yet.
+        if (state_ == State::busy && (begun_ || connection_->held() > 0)) events_.link_answering(*this);
     } catch (const pgwire::BadMessage&) {
         spoilt();
     }
--- a/src/members/link.h
+++ b/src/members/link.h
@@ -17,7 +17,7 @@
 class LinkEvents {
 public:
     virtual void link_ready(Link& link) = 0;                   // up, and idle for the first time
-    virtual void link_answering(Link& link) = 0;               // the first bytes of an answer have come
+    virtual void link_answering(Link& link) = 0;               // a part of an answer has come
     virtual void link_answered(Link& link, Reply& reply) = 0;  // idle again
     // The link is of no more use. `sqlstate` is what a member said that would not let it come up. Where the
     // query had an outcome before the break, `reply` holds it; it is empty where what came was spoilt.
@@ -36,6 +36,7 @@
 
     bool opened() const { return connection_ != nullptr; }  // false: no socket was to be had
     bool is_ready() const { return state_ == State::idle; }
+    bool kept() const { return kept_; }  // has answered before
     bool is_up() const { return state_ == State::idle || state_ == State::busy; }
     // Idle, and nothing has come that belongs to no query: neither here nor, as yet, in the kernel.
     bool reusable() const {
@@ -64,7 +65,7 @@
     net::Slot slot_;
     State state_ = State::connecting;
     Reply reply_;
-    bool answering_ = false;
+    bool begun_ = false, kept_ = false;  // its answer has begun; it has had one before
     std::string sqlstate_;
     std::unique_ptr<net::Connection> connection_;
 };
--- a/src/members/pool.cpp
+++ b/src/members/pool.cpp
@@ -19,7 +19,7 @@
 // How long a link rests after an answer before it carries the next query. Guards against a second copy or
 // noise that comes a moment behind an answer and would be read as the next one.
 constexpr Micros kRest = 20'000;
-constexpr Micros kWholeAnswer = 150'000;  // from an answer's first byte to its last: members write it at once
+constexpr Micros kNextPart = 150'000;  // from one part of an answer to the next: members write it in one go
 
 }  // namespace
 
@@ -40,6 +40,7 @@
     Member* member = nullptr;
     Link* link = nullptr;  // while its query is out
     Time sent_at = 0;
+    bool on_kept = false;  // its link had answered before
     Deadline connect_by, give_up_at;
     bool is_probe() const { return attempt.request == kProbes; }
 };
@@ -186,6 +187,7 @@
     }
     job.connect_by.clear();
     job.link = &link;
+    job.on_kept = link.kept();
     by_link_.at(&link).job = &job;
     link.deadline.clear();
     link.query(job.is_probe()
@@ -232,6 +234,7 @@
     e.server = job.attempt.server;
     e.outcome = outcome;
     e.latency_us = latency;
+    e.on_kept = job.on_kept;
     std::optional<traffic::Value> value;
     if (reply) {
         e.standing = reply->standing();
@@ -292,9 +295,9 @@
     became_idle(member, link);
 }
 
-// A part of an answer with no end would hold its request until the client gives up.
+// A part of an answer that nothing follows would hold its request until the client gives up.
 void Pool::link_answering(Link& link) {
-    link.deadline.set(deadlines_, deadlines_.now() + kWholeAnswer, [&link] { link.spoilt(); });
+    link.deadline.set(deadlines_, deadlines_.now() + kNextPart, [&link] { link.spoilt(); });
 }
 
 void Pool::link_answered(Link& link, Reply& reply) {
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <charconv>
 #include <cstring>
@@ -89,11 +90,14 @@
     return out;
 }
 
-std::string_view Connection::unread() {
-    auto* in = bufferevent_get_input(bev_.get());
-    const auto size = evbuffer_get_length(in);
+std::string_view Connection::unread(std::size_t most) {
+    const auto size = std::min(held(), most);
     if (size == 0) return {};
-    return {reinterpret_cast<const char*>(evbuffer_pullup(in, -1)), size};
+    // Moves what stands in pieces: asked for a few bytes, it leaves a large message that is still coming
+    // alone.
+    return {reinterpret_cast<const char*>(
+                evbuffer_pullup(bufferevent_get_input(bev_.get()), static_cast<ev_ssize_t>(size))),
+            size};
 }
 
 void Connection::consume(std::size_t bytes) { evbuffer_drain(bufferevent_get_input(bev_.get()), bytes); }
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -43,7 +43,9 @@
                                             ConnectionEvents& events);
 
     ~Connection();
-    std::string_view unread();  // good until the next call that takes or reads
+    // The first bytes that have come, `most` of them or all there are.
+    std::string_view unread(
+        std::size_t most = static_cast<std::size_t>(-1));  // good until the next call that takes or reads
     void consume(std::size_t bytes);
     void bound_unread(std::size_t most);  // reading rests while more than that is held
     void write(std::string_view bytes);
--- a/src/pgwire/frame.cpp
+++ b/src/pgwire/frame.cpp
@@ -5,25 +5,37 @@
 
 constexpr std::uint32_t kCancelRequest = 80877102, kSslRequest = 80877103, kGssRequest = 80877104;
 
-std::optional<Message> cut(std::string_view bytes, std::size_t type_size, std::size_t largest) {
+std::optional<std::size_t> measure(std::string_view bytes, std::size_t type_size, std::size_t largest) {
     if (bytes.size() < type_size + 4) return std::nullopt;
     const std::size_t length = Fields(bytes.substr(type_size)).int32();
     if (length < 4) throw BadMessage("a message shorter than its own length field");
     if (length > largest) throw BadMessage("a message of " + std::to_string(length) + " bytes");
-    if (bytes.size() < type_size + length) return std::nullopt;
-    return Message{type_size ? bytes[0] : '\0', bytes.substr(type_size + 4, length - 4), type_size + length};
+    return type_size + length;
+}
+
+std::optional<Message> cut(std::string_view bytes, std::size_t type_size, std::optional<std::size_t> size) {
+    if (!size || bytes.size() < *size) return std::nullopt;
+    const auto head = type_size + 4;
+    return Message{type_size ? bytes[0] : '\0', bytes.substr(head, *size - head), *size};
 }
 
 }  // namespace
 
-std::optional<Message> next_message(std::string_view bytes, const Longest& longest) {
-    if (bytes.empty()) return std::nullopt;
-    const auto most = longest(bytes[0]);
+std::optional<std::size_t> size_of_next(std::string_view head, const Longest& longest) {
+    if (head.empty()) return std::nullopt;
+    const auto most = longest(head[0]);
     if (most == 0) throw BadMessage("a message of a type that cannot come here");
-    return cut(bytes, 1, most);
+    return measure(head, 1, most);
+}
+std::optional<Message> next_message(std::string_view bytes, const Longest& longest) {
+    return cut(bytes, 1, size_of_next(bytes, longest));
+}
+std::optional<Message> next_message(std::string_view bytes) {
+    return cut(bytes, 1, measure(bytes, 1, kLargestMessage));
+}
+std::optional<Message> next_startup(std::string_view bytes) {
+    return cut(bytes, 0, measure(bytes, 0, kLargestStartup));
 }
-std::optional<Message> next_message(std::string_view bytes) { return cut(bytes, 1, kLargestMessage); }
-std::optional<Message> next_startup(std::string_view bytes) { return cut(bytes, 0, kLargestStartup); }
 
 StartupRequest read_startup(std::string_view body) {
     Fields in(body);
--- a/src/pgwire/frame.h
+++ b/src/pgwire/frame.h
@@ -15,9 +15,10 @@
     using std::runtime_error::runtime_error;
 };
 
-// A value has 64 KiB at most; as text in a statement each byte takes two characters.
-constexpr std::size_t kLargestValue = 64 * 1024;
-constexpr std::size_t kLargestMessage = 2 * kLargestValue + 8 * 1024;
+// Values have 64 KiB as a rule, but some days bring larger ones; what is far beyond that is no value of a
+// member, and no statement of a client.
+constexpr std::size_t kLargestValue = 1024 * 1024;
+constexpr std::size_t kLargestMessage = kLargestValue + 8 * 1024;
 constexpr std::size_t kLargestStartup = 10'000;  // PostgreSQL's own limit
 
 struct Message {
@@ -28,8 +29,12 @@
 
 // How long a message of a type may be here, its length field included; 0 where none such may come now.
 using Longest = std::function<std::size_t(char type)>;
-// The first message of `bytes`; nothing where it is not whole yet. Throws BadMessage as soon as type or
-// length show that the message is none: nobody waits for the rest of what will be turned away.
+// The bytes that the message takes which begins with these; nothing where that cannot be told yet. Throws
+// BadMessage as soon as type or length show that it is none: nobody waits for the rest of what will be turned
+// away.
+std::optional<std::size_t> size_of_next(std::string_view head, const Longest& longest);
+constexpr std::size_t kHead = 5;  // bytes that tell it
+// The first message of `bytes`; nothing where it is not whole yet. Throws as size_of_next.
 std::optional<Message> next_message(std::string_view bytes, const Longest& longest);
 std::optional<Message> next_message(std::string_view bytes);  // of any type, up to the largest
 // The same for the packet a client begins with, which has no type.
--- a/tests/net/scenario.cpp
+++ b/tests/net/scenario.cpp
@@ -279,6 +279,11 @@
         if (kind == "at") build.parameter("applied_ms", text);
         if (kind == "row")
             build.row_description("data", 25, true).data_row(text).complete("SELECT 1").ready();
+        if (kind == "large")
+            build.row_description("data", 25, true)
+                .data_row(std::string(std::stoul(text), 'v'))
+                .complete("SELECT 1")
+                .ready();
         if (kind == "unready") build.row_description("data", 25, true).data_row(text).complete("SELECT 1");
         if (kind == "error") build.error("ERROR", text, "test").ready();
         if (kind == "list") out = list(text);
@@ -326,6 +331,7 @@
             if (m->type == 'Q') out = "query:" + std::string(body.text());
             if (m->type == 'R') out = "up", p.started = true;
             if (m->type == 'D') body.int16(), out = "row:" + std::string(body.bytes(body.int32()));
+            if (out.size() > 1000 && m->type == 'D') out = "large:" + std::to_string(out.size() - 4);
             if (m->type == 'I') out = "empty";
             if (m->type == 'Z') out = "ready";
             if (m->type == 'E') {
--- a/tests/net/scenario.h
+++ b/tests/net/scenario.h
@@ -12,8 +12,8 @@
 //   send WORDS   clients: startup, ssl, empty, bye, half (no more input), hex:5100, ext (an extended query),
 //                read:ID or write:ID with further tags (read:7,d=100,r=1), sql:TEXT (_ stands for a space)
 //                flood (4 MB of noise)
-//                members: up, row:VALUE, unready:VALUE (no end to it), error:CODE, role:ROLE, at:MS;
-//                discovery: list:REVISION:full|changes: NAME=PHASE,... , status:CODE
+//                members: up, row:VALUE, unready:VALUE (no end to it), large:BYTES, error:CODE, role:ROLE,
+//                at:MS; discovery: list:REVISION:full|changes: NAME=PHASE,... , status:CODE
 //   expect WORDS what has come, in this order, skipping parameters and notices:
 //                clients: N, up, row:VALUE, empty, error:CODE, error:CODE:ADVICE, refused:advised (53300,
 //                some advice), ready, end members: startup, query:PART (the statement holds it), end;
--- a/tests/net/scenarios.cpp
+++ b/tests/net/scenarios.cpp
@@ -150,6 +150,15 @@
         b send startup read:2
         b expect up ready
         m1.1 expect query:id=2)");
+    // Values beyond 64 KiB do come: guards against taking them for spoilt answers.
+    play("a large value passes whole", {}, R"(
+        a send startup read:1
+        a expect up ready
+        m1.1 expect startup
+        m1.1 send up
+        m1.1 expect query:id=1
+        m1.1 send large:400000
+        a expect large:400000 ready)");
     Setup two;
     two.members = 2;
     play("the time left is what goes out as d", {}, R"(
