--- a/src/discovery/list.h
+++ b/src/discovery/list.h
@@ -48,6 +48,7 @@
     // Throws std::runtime_error saying what is wrong with the list.
     List read(const nlohmann::json& json);
     List read(const std::string& text);
+    std::size_t names() const { return numbers_.size(); }
 
 private:
     traffic::Entry entry(const nlohmann::json& json);
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -11,6 +11,11 @@
 namespace {
 
 constexpr Micros kReportEvery = 10'000'000;
+#ifdef NDEBUG
+constexpr bool kDebug = false;
+#else
+constexpr bool kDebug = true;
+#endif
 constexpr const char* kUser = "portal";
 constexpr const char* kDatabase = "crm";
 
@@ -108,6 +113,13 @@
 
 void Server::report() {
     invariant::Counter::report();
+    // Whatever could grow with ids, names or connections over a long day.
+    if (kDebug)
+        log::line("tables", std::to_string(door_->sessions()) + " clients, " + std::to_string(pool_.links()) +
+                                " links, " + std::to_string(proxy_.open_requests()) + " requests, " +
+                                std::to_string(lists_.names()) + " names, " +
+                                std::to_string(deadlines_.size()) + " deadlines, " +
+                                std::to_string(ledger_.held()) + " bytes");
     report_.set(deadlines_, deadlines_.now() + kReportEvery, [this] { report(); });
 }
 
