--- a/src/clients/door.cpp
+++ b/src/clients/door.cpp
@@ -29,12 +29,13 @@
       quota_(quota),
       overflow_(overflow),
       at_(at),
-      office_{loop, deadlines, desk, ledger, numbers, std::move(class_names), sessions_named},
+      office_{loop, deadlines, desk, ledger, quota, numbers, std::move(class_names), sessions_named},
       longest_wait_(std::min(longest_wait, kLongestWait)) {}
 
 Door::~Door() = default;
 
 void Door::open() {
+    if (stopping_since_) return;
     const auto take = [this](evutil_socket_t fd) { accepted(fd); };
     const auto none_left = [this] { out_of_descriptors(); };
     listener_ = at_.passed_socket
@@ -83,8 +84,16 @@
     return false;
 }
 
-void Door::stop() {
+void Door::fit() {
+    for (auto it = sessions_.begin(); quota_.over() && it != sessions_.end();) {
+        auto& s = **it++;  // closing takes it off the list
+        if (s.between_requests()) s.close();
+    }
+}
+
+void Door::stop(bool succeeded) {
     if (stopping_since_) return;
+    succeeded_ = succeeded;
     stopping_since_ = deadlines_.now();
     log::line("stopping", std::to_string(sessions_.size()) + " clients connected");
     wind_down();
@@ -95,15 +104,18 @@
 // requests.
 void Door::wind_down() {
     const Time now = deadlines_.now(), stopped_for = now - stopping_since_;
-    if (listener_ && stopped_for >= kStillComing && now >= accepted_at_ + kLastArrival) stop_listening();
-    office_.closing = stopped_for >= std::max(kStillComing, longest_wait_ - kLeaveEarly);
+    if (listener_ && (succeeded_ || (stopped_for >= kStillComing && now >= accepted_at_ + kLastArrival)))
+        stop_listening();
+    // Closed right behind its answer a connection crosses no query; with a successor that can begin at once.
+    const bool last_moment = stopped_for >= std::max(kStillComing, longest_wait_ - kLeaveEarly);
+    office_.closing = succeeded_ || last_moment;
     const bool at_once = stopped_for >= longest_wait_ + kLastAnswer;
     if (at_once) stop_listening();
     for (auto it = sessions_.begin(); it != sessions_.end();) {
         auto& s = **it++;  // closing takes it off the list
         if (at_once)
             s.abandon();
-        else if (s.between_requests() && (office_.closing || s.quiet_since() < now - kRests))
+        else if (s.between_requests() && (last_moment || s.quiet_since() < now - kRests))
             s.finish();
     }
     stop_.set(deadlines_, now + kLook, [this] { wind_down(); });
--- a/src/clients/door.h
+++ b/src/clients/door.h
@@ -29,8 +29,10 @@
     bool accepting() const { return listener_ && !stopping_since_; }
     // Closes down in order: clients are still served for a while, each connection is closed between its
     // requests, and over() holds once the last answer has left. `longest_wait`, of any client for an answer,
-    // bounds all of it.
-    void stop();
+    // bounds all of it. Where a successor accepts clients this door closes at once.
+    void stop(bool succeeded);
+    // Closes idle clients for as long as the share is exceeded; those that are busy end after their answers.
+    void fit();
     bool over() const { return stopping_since_ && !listener_ && sessions_.empty(); }
     std::uint16_t port() const { return listener_->port(); }
     std::size_t sessions() const { return sessions_.size(); }
@@ -57,6 +59,7 @@
     std::unique_ptr<net::Listener> listener_;
     Deadline resume_, stop_;
     Micros longest_wait_;
+    bool succeeded_ = false;
     Time accepted_at_ = 0, complained_at_ = 0, stopping_since_ = 0;
 };
 
--- a/src/clients/session.cpp
+++ b/src/clients/session.cpp
@@ -362,7 +362,7 @@
     reply(bytes);
     // A stopping proxy ends connections between requests only: guards against losing a query that was sent
     // right behind the one just answered.
-    if (turned_away_ || (office_.closing && between_requests())) return finish();
+    if (turned_away_ || ((office_.closing || office_.quota.over()) && between_requests())) return finish();
     read_all();
 }
 
--- a/src/clients/session.h
+++ b/src/clients/session.h
@@ -23,6 +23,7 @@
     Deadlines& deadlines;
     traffic::Desk& desk;
     net::Ledger& ledger;
+    const net::Quota& quota;
     numbers::Numbers& numbers;
     std::vector<std::string> class_names;
     bool sessions_named = false;                    // some class reads what its session has written
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -120,6 +120,7 @@
     if (const auto* said = variable("EDGE_CONTROL"); (said && *said) || file.contains("control"))
         out.control = address_of(text_of(file, "control", said, "EDGE_CONTROL"), "EDGE_CONTROL");
     out.passed_socket = descriptor_of(variable("EDGE_PASSED_SOCKET"));
+    if (const auto* scratch = variable("TMPDIR")) out.scratch = scratch;
     if (const auto named = file.find("discovery"); named != file.end() && named->is_string())
         out.discovery_in_file = named->get<std::string>();
     out.seed = seed_of(file);
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -24,6 +24,7 @@
     sockaddr_in listen{}, discovery{};
     std::optional<sockaddr_in> control;  // the operators' door; none where neither file nor variable says
     std::optional<int> passed_socket;    // the clients' listening socket where the platform holds it
+    std::string scratch;                 // a folder that the processes of one proxy share; may be empty
     std::string discovery_host;
     std::string discovery_in_file;  // empty where the file names none
     std::uint64_t seed = 0;
--- a/src/members/pool.cpp
+++ b/src/members/pool.cpp
@@ -163,6 +163,11 @@
     return true;
 }
 
+void Pool::fit() {
+    while (quota_.over() && close_an_idle_link()) {
+    }
+}
+
 bool Pool::close_an_idle_link() {
     Member* most = nullptr;
     for (auto& [id, m] : members_)
@@ -280,7 +285,7 @@
 }
 
 void Pool::became_idle(Member& member, Link& link) {
-    if (member.told_at >= 0 && member.waiting.empty()) return drop(link);
+    if ((member.told_at >= 0 || quota_.over()) && member.waiting.empty()) return drop(link);
     if (by_link_.at(&link).outdated) {
         drop(link);
         return serve_waiting(member);
--- a/src/members/pool.h
+++ b/src/members/pool.h
@@ -36,6 +36,8 @@
     void cancel(traffic::RequestId request, int number) override;
     void probe(traffic::ServerId server) override;
 
+    // Closes idle links for as long as the share is exceeded; those in use end after their answers.
+    void fit();
     std::size_t links() const { return by_link_.size(); }
 
 private:
--- a/src/net/ledger.h
+++ b/src/net/ledger.h
@@ -14,6 +14,7 @@
 
     void add(std::size_t bytes) { held_ += bytes; }
     void remove(std::size_t bytes) { held_ -= bytes; }
+    void allow(std::size_t most) { most_ = most; }
     bool over() const { return held_ > most_; }
     std::size_t held() const { return held_; }
 
--- a/src/net/quota.h
+++ b/src/net/quota.h
@@ -33,6 +33,8 @@
     Quota& operator=(const Quota&) = delete;
 
     Slot take() { return taken_ < most_ ? (++taken_, Slot(this)) : Slot(); }
+    void allow(int most) { most_ = most; }  // what is taken beyond it stays until it is given back
+    bool over() const { return taken_ > most_; }
     bool full() const { return taken_ >= most_; }
     int taken() const { return taken_; }
 
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -55,10 +55,19 @@
     }
 }
 
+// Where the processes of one proxy find each other.
+std::string tie_path(const config::Config& config) {
+    auto name = config.name;
+    std::replace(name.begin(), name.end(), '/', '_');
+    return config.scratch + "/sloestack-" + name;
+}
+
 }  // namespace
 
 Server::Server(const config::Config& config)
-    : clients_(net::share(config.sockets).clients),
+    : sockets_(config.sockets),
+      memory_mb_(config.memory_mb),
+      clients_(net::share(config.sockets).clients),
       overflow_(net::share(config.sockets).overflow),
       members_(net::share(config.sockets).members),
       ledger_(net::bytes_for_clients(config.memory_mb)),
@@ -66,14 +75,12 @@
       proxy_(deadlines_, module_settings(config.settings.router), config.seed),
       pool_(loop_, deadlines_, members_, pool_settings(config.settings), proxy_, numbers_),
       lists_(config.settings.zone_names),
+      known_(known_list(lists_, config.known)),
       discovery_(config.discovery_in_file) {
-    auto known = known_list(lists_, config.known);
     watch_ = std::make_unique<discovery::Watch>(loop_, deadlines_, config.discovery, config.discovery_host,
-                                                lists_, known.revision, bans_);
+                                                lists_, known_.revision, bans_);
     proxy_.attach({pool_, [this] { watch_->start(); },
                    [this](auto kind, const auto& entries) { pool_.listed(kind, entries); }});
-    bans_.listed(nettletrestle::ListKind::cached, std::move(known.members));
-    proxy_.turn();
     door_ = std::make_unique<clients::Door>(
         loop_, deadlines_, clients_, overflow_, ledger_, numbers_,
         clients::Entrance{config.listen, config.passed_socket}, proxy_, config.settings.class_names,
@@ -81,10 +88,36 @@
     if (config.control)
         control_ = std::make_unique<control::Door>(loop_, deadlines_, *config.control,
                                                    static_cast<control::Operated&>(*this));
-    door_->open();
+    if (config.passed_socket && !config.scratch.empty()) {
+        succession_ = std::make_unique<succession::Succession>(loop_, deadlines_, tie_path(config),
+                                                               static_cast<succession::Estate&>(*this));
+        succession_->start();
+    } else {
+        begin();
+    }
     report();
 }
 
+// ---- the processes of one proxy ----
+// The list comes after the bans: nothing is ever sent to a member that a predecessor was told to leave out.
+void Server::begin() {
+    bans_.listed(nettletrestle::ListKind::cached, std::move(known_.members));
+    proxy_.turn();
+    door_->open();
+}
+
+void Server::shared_by(int processes) {
+    const auto shares = net::share(sockets_ / processes);
+    clients_.allow(shares.clients);
+    overflow_.allow(shares.overflow);
+    members_.allow(shares.members);
+    ledger_.allow(net::bytes_for_clients(memory_mb_) / static_cast<std::size_t>(processes));
+    door_->fit();
+    pool_.fit();
+}
+
+void Server::heard(bool out, const std::string& member) { out ? bans_.ban(member) : bans_.lift(member); }
+
 // ---- what operators call ----
 std::string Server::figures() const {
     numbers::State now;
@@ -96,12 +129,17 @@
 
 void Server::exclude(const std::string& member, Done done) {
     bans_.ban(member);
-    done();
+    pass_on(true, member, std::move(done));
 }
 
 void Server::include(const std::string& member, Done done) {
     bans_.lift(member);
-    done();
+    pass_on(false, member, std::move(done));
+}
+
+void Server::pass_on(bool out, const std::string& member, Done done) {
+    if (!succession_) return done();
+    succession_->tell(out, member, std::move(done));
 }
 
 void Server::turn(Micros at_most) {
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -14,10 +14,11 @@
 #include "net/quota.h"
 #include "numbers/numbers.h"
 #include "proxy/proxy.h"
+#include "succession/succession.h"
 
 namespace sloestack::server {
 
-class Server final : private control::Operated {
+class Server final : private control::Operated, private succession::Estate {
 public:
     // Throws config::BadConfig, or std::runtime_error where the address cannot be listened on.
     explicit Server(const config::Config& config);
@@ -26,8 +27,10 @@
     void turn(Micros at_most);
     // SIGTERM and SIGINT stop it; at SIGHUP it takes over what `load` says anew.
     void obey_signals(std::function<config::Config()> load);
-    void stop() { door_->stop(); }
+    void stop() { door_->stop(succession_ && succession_->has_successor()); }
     bool over() const { return door_->over(); }
+    // Whether a list is held and clients are accepted.
+    bool ready() const override { return proxy_.able_to_serve() && door_ && door_->accepting(); }
     std::uint16_t port() const { return door_->port(); }
     std::uint16_t control_port() const { return control_->port(); }  // where there is such a door
 
@@ -36,15 +39,24 @@
     void report();
 
     // What operators call
-    bool ready() const override { return proxy_.able_to_serve() && door_ && door_->accepting(); }
     std::string figures() const override;
     bool ever_listed(const std::string& member) const override { return lists_.ever_listed(member); }
     void exclude(const std::string& member, Done done) override;
     void include(const std::string& member, Done done) override;
+    void pass_on(bool out, const std::string& member, Done done);
+
+    // What the processes of one proxy hand on and share
+    const std::set<std::string>& banned() const override { return bans_.names(); }
+    void heard(bool out, const std::string& member) override;
+    void shared_by(int processes) override;
+    bool fits() const override { return !clients_.over() && !members_.over(); }
+    void begin() override;
 
     Clock clock_;
     net::Loop loop_;
     Deadlines deadlines_{clock_};
+    int sockets_;
+    std::int64_t memory_mb_;
     net::Quota clients_, overflow_, members_;
     net::Ledger ledger_;  // of what clients have sent and not had answered, or been sent and not taken
     numbers::Numbers numbers_;
@@ -52,10 +64,12 @@
     bans::Bans bans_{proxy_};
     members::Pool pool_;
     discovery::Reader lists_;
+    discovery::List known_;  // until it begins
     std::unique_ptr<discovery::Watch> watch_;
     std::string discovery_;  // as the file named it last
     std::unique_ptr<clients::Door> door_;
     std::unique_ptr<control::Door> control_;
+    std::unique_ptr<succession::Succession> succession_;
     Deadline report_;
 };
 
--- a/tests/net/scenario.cpp
+++ b/tests/net/scenario.cpp
@@ -135,11 +135,21 @@
                  {"limits", {{"sockets", setup.sockets}, {"memory_mb", 48}}},
                  {"known", {{"revision", 1}, {"complete", true}, {"members", members}}},
                  {"settings", settings}};
+        if (setup.passed) {
+            passed_ = listening_socket(port);
+            char folder[] = "/tmp/sloestack-test-XXXXXX";
+            CHECK(mkdtemp(folder));
+            scratch_ = folder;
+        }
         server_ = std::make_unique<server::Server>(read_file());
         server_->obey_signals([this] { return read_file(); });
     }
     ~Stage() {
         for (const auto& [name, fd] : listeners_) close(fd);
+        if (passed_ < 0) return;
+        close(passed_);
+        unlink((scratch_ + "/sloestack-test").c_str());
+        rmdir(scratch_.c_str());
     }
 
     void line(const std::string& text) {
@@ -176,8 +186,15 @@
     // The environment names discovery as well, as it does in service; it cannot change while the proxy runs.
     config::Config read_file() const {
         const auto at_start = file_.at("at_start").get<std::string>();
-        return config::read(file_, [&](const char* name) {
-            return std::string_view(name) == "EDGE_DISCOVERY" ? at_start.c_str() : nullptr;
+        // Each process has a descriptor of its own of the socket passed on.
+        const auto passed = passed_ < 0 ? std::string() : std::to_string(dup(passed_));
+        return config::read(file_, [&](const char* name) -> const char* {
+            const std::string_view asked = name;
+            if (asked == "EDGE_DISCOVERY") return at_start.c_str();
+            if (passed_ < 0) return nullptr;
+            return asked == "EDGE_PASSED_SOCKET" ? passed.c_str()
+                   : asked == "TMPDIR"           ? scratch_.c_str()
+                                                 : nullptr;
         });
     }
     [[noreturn]] void fail(const std::string& why) const {
@@ -190,16 +207,30 @@
         const auto hopeless = std::chrono::steady_clock::now() + kHopeless;
         while (!condition()) {
             if (std::chrono::steady_clock::now() > hopeless) fail("never came: " + why);
-            server_->turn(1000);
+            turn();
             accept_all();
         }
     }
+    void turn() {
+        server_->turn(1000);
+        if (successor_) successor_->turn(1000);
+    }
     void pause(int milliseconds) {
         const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(milliseconds);
         until([&] { return std::chrono::steady_clock::now() >= end; }, "time");
     }
     void proxy(const std::string& verb, const std::string& word) {
         if (verb == "close") return void(raise(SIGTERM));
+        if (verb == "upgrade") {
+            successor_ = std::make_unique<server::Server>(read_file());
+            return until([&] { return successor_->ready(); }, "the successor");
+        }
+        if (verb == "stop") return server_->stop();
+        if (verb == "die") {
+            server_.reset();
+            server_ = successor_ ? std::move(successor_) : std::make_unique<server::Server>(read_file());
+            return;
+        }
         if (verb == "reload") {
             if (word == "d2") file_["discovery"] = moved_to_;
             if (word == "same") file_["discovery"] = file_["at_start"];
@@ -229,7 +260,10 @@
         sockaddr_in to{};
         to.sin_family = AF_INET;
         to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        to.sin_port = htons(actor[0] == 'o' ? server_->control_port() : server_->port());
+        auto& newest = successor_ ? *successor_ : *server_;
+        to.sin_port = htons(actor[0] == 'n'   ? newest.control_port()
+                            : actor[0] == 'o' ? server_->control_port()
+                                              : newest.port());
         CHECK(connect(p.fd, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
         return p;
     }
@@ -300,7 +334,7 @@
             if (n > 0)
                 sent += static_cast<std::size_t>(n);
             else if (errno == EAGAIN)
-                server_->turn(1000);
+                turn();
             else
                 return;  // the proxy has closed; the next expect shows it
         }
@@ -325,7 +359,7 @@
             take(end + 4);
             return "call:" + call + (call.find('?') == std::string::npos ? " whole" : "");
         }
-        if (actor[0] == 'o') {  // its answer ends with the connection
+        if (actor[0] == 'o' || actor[0] == 'n') {  // its answer ends with the connection
             if (!p.ended) return std::nullopt;
             if (p.in.empty()) return "end";
             const auto head = p.in.find("\r\n\r\n");
@@ -378,7 +412,9 @@
     std::map<std::string, int> listeners_, accepted_;
     std::map<std::string, json> entries_;
     std::map<std::string, Peer> peers_;
-    std::unique_ptr<server::Server> server_;
+    int passed_ = -1;
+    std::string scratch_;
+    std::unique_ptr<server::Server> server_, successor_;
 };
 
 }  // namespace
--- a/tests/net/scenario.h
+++ b/tests/net/scenario.h
@@ -7,8 +7,12 @@
 //   d.1          the first connection to discovery
 //   d2.1         the same where discovery has moved to
 //   o, o1, o2    operators, who connect to the proxy's door for them
+//   n, n1, n2    operators at the door of the proxy's successor
 //   proxy        `proxy close`: SIGTERM; `proxy reload d2|nonsense|same`: SIGHUP with such a file; `proxy
-//   wait over`
+//   wait over`; where the clients' socket is passed on: `proxy upgrade` (a second process of it starts and is
+//   ready),
+//                `proxy stop` (SIGTERM to the first one), `proxy die` (the first one is gone
+//                at once; where there is no second one, it starts anew)
 // The verbs:
 //   send WORDS   clients: startup, ssl, empty, bye, half (no more input), hex:5100, ext (an extended query),
 //                read:ID or write:ID with further tags (read:7,d=100,r=1), sql:TEXT (_ stands for a space)
@@ -32,7 +36,8 @@
     int members = 1;
     nlohmann::json settings = nlohmann::json::object();  // laid over the usual ones
     int sockets = 1024;
-    bool known = true;  // the members are known from the start
+    bool passed = false;  // the clients' socket is the platform's
+    bool known = true;    // the members are known from the start
 };
 
 // Ends the process with a message where the scenario does not go as written.
--- a/tests/net/scenarios.cpp
+++ b/tests/net/scenarios.cpp
@@ -533,6 +533,72 @@
         m1.1 send row:w
         a expect row:w ready)");
 }
+void upgrades() {
+    Setup two;
+    two.members = 2;
+    two.passed = true;
+    play("a successor has the bans, each door's later calls hold at both, and clients are served on", two, R"(
+        a send startup read:1
+        a expect up ready
+        m1.1 expect startup
+        m1.1 send up
+        m1.1 expect query:id=1
+        o1 send call:POST:/api/exclude?id=m1
+        o1 expect status:200
+        proxy upgrade
+        n1 send call:GET:/api/telemetry
+        n1 expect status:200 says:"pool_ejected":1,"pool_size":2
+        n2 send call:GET:/api/ready
+        n2 expect status:200
+        o2 send call:POST:/api/exclude?id=m2
+        o2 expect status:200
+        n3 send call:GET:/api/telemetry
+        n3 expect status:200 says:"pool_ejected":2
+        n4 send call:POST:/api/include?id=m2
+        n4 expect status:200
+        o3 send call:GET:/api/telemetry
+        o3 expect status:200 says:"pool_ejected":1
+        proxy stop
+        b send startup empty
+        b expect up ready empty ready
+        m1.1 send row:v
+        a expect row:v ready end
+        proxy wait over
+        proxy die
+        b send read:2
+        m2.1 expect startup
+        m2.1 send up
+        m2.1 expect query:id=2
+        m2.1 send row:w
+        b expect row:w ready)");
+    // Idle connections go first: what both hold together keeps within one process's limits.
+    two.sockets = 128;
+    std::string many;
+    for (int i = 0; i < 40; ++i) {
+        const auto c = "c" + std::to_string(i);
+        many += c + " send startup empty\n" + c + " expect up ready empty ready\n";
+    }
+    play("a process with a successor halves its share, and the successor survives its sudden death", two,
+         many + R"(
+        proxy upgrade
+        n1 send call:GET:/api/ready
+        n1 expect status:200
+        c0 expect end
+        c39 send empty
+        c39 expect empty ready
+        proxy die
+        c39 expect end
+        b send startup read:1
+        b expect up ready)");
+    // What a process leaves behind when it dies must not keep the next one from serving.
+    play("a socket that nobody answers is replaced, and the process starts alone", two, R"(
+        proxy die
+        b send startup empty
+        b expect up ready empty ready
+        proxy upgrade
+        n1 send call:GET:/api/ready
+        n1 expect status:200)");
+}
 }  // namespace
 
 int main() {
@@ -544,4 +610,5 @@
     limits();
     stopping();
     operators();
+    upgrades();
 }
