Pace the probes of a group without a primary by the number of proxies

Cause: each of 48 proxies probed all members of such a group every 250 ms, 2.7 probes a request in all. Now every 250 ms or 60 ms for each router, whichever is longer; up to four routers nothing changes.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -61,15 +61,16 @@
 constexpr Micros kRateEvery = 250'000;  // us; between looks at what members carry
 constexpr double kMemberStep = 0.1;     // a look; smoothing of what a member carries: some 2.5 s
 constexpr double kColdSaved = 0.2;      // of a cold server's budget: what all routers may have saved up
-constexpr double kRetryPerArrival = 0.2;       // further attempts earned by each arrival
-constexpr double kRetryMost = 80;              // further attempts saved up: one hung server's load
-constexpr Micros kSearchEvery = 20'000;        // us; between writes sent out to find the primary ...
-constexpr Micros kSearchShare = 1'000;         // us; ... and for each router: declined writes are load too
-constexpr Micros kRoleStale = 500'000;         // us; a replica's role may have changed after this
-constexpr Micros kProbeEvery = 250'000;        // us; between probes of a group whose primary is lost
-constexpr double kRetryShare = 0.2;            // of the aim; base advice: a try after it can be in time
-constexpr double kDrainSafe = 0.5;             // of the grace: a draining primary may still be used
-constexpr Micros kWatchRetry = 700'000;        // us; first wait after a failed call for the list
+constexpr double kRetryPerArrival = 0.2;  // further attempts earned by each arrival
+constexpr double kRetryMost = 80;         // further attempts saved up: one hung server's load
+constexpr Micros kSearchEvery = 20'000;   // us; between writes sent out to find the primary ...
+constexpr Micros kSearchShare = 1'000;    // us; ... and for each router: declined writes are load too
+constexpr Micros kRoleStale = 500'000;    // us; a replica's role may have changed after this
+constexpr Micros kProbeEvery = 250'000;   // us; between probes of a group whose primary is lost ...
+constexpr Micros kProbeShare = 60'000;    // us; ... and for each router: a herd probes no more than a few
+constexpr double kRetryShare = 0.2;       // of the aim; base advice: a try after it can be in time
+constexpr double kDrainSafe = 0.5;        // of the grace: a draining primary may still be used
+constexpr Micros kWatchRetry = 700'000;   // us; first wait after a failed call for the list
 constexpr Micros kWatchRetryMost = 3'000'000;  // us; longest such wait, well inside the ask interval
 constexpr Micros kForgetAfter = 60'000'000;    // us; a member told gone is kept so long
 constexpr int kScanMost = 64;                  // waiting requests looked at in a round, per class
@@ -196,6 +197,7 @@
             target_ = target_ ? std::min(target_, half) : half;
         }
         if (!target_) target_ = kNoBoundTarget;
+        probe_every_ = std::max(kProbeEvery, set_.routers * kProbeShare);
     }
 
     void step(Time now, const std::vector<Event>& events, std::vector<Action>& actions) {
@@ -686,8 +688,7 @@
                 (seen > s.slowness ? kSlowerStep : kFasterStep) * (std::min(seen, kSlowMost) - s.slowness);
             s.slowness = std::max(kSlowLeast, s.slowness);
         }
-        // Several in a row, not one: a flaky network breaks single connections of servers that are well, and
-        // stale ones break when used again. Slower by two requests on a server that died.
+        // Several in a row: a flaky network breaks single connections, and stale ones break when used again.
         const bool cut = e.outcome == Outcome::connect_failed || e.outcome == Outcome::reset;
         if (cut && !e.on_kept && ++s.cuts >= kCutsInARow) eject(s, true);
     }
@@ -845,7 +846,7 @@
         for (auto& [id, g] : groups_) {
             renew_throttle(g);
             if (now_ - g.rated_at > kRateEvery) rate_members(g);
-            if (!g.primary && g.probed_at >= 0 && set_.probes_report && now_ - g.probed_at > kProbeEvery)
+            if (!g.primary && g.probed_at >= 0 && set_.probes_report && now_ - g.probed_at > probe_every_)
                 probe_all(g);
         }
         while (!deadlines_.empty() && deadlines_.top().first <= now_ + 2 * kTick) {
@@ -859,11 +860,10 @@
 
     Settings set_;
     std::mt19937_64 random_;
-    Micros target_ = 0;
+    Micros target_ = 0, watch_wait_ = kWatchRetry, probe_every_ = kProbeEvery;
     Time now_ = 0, forgot_at_ = 0;
     bool started_ = false;
     double retry_credit_ = kRetryMost / 4;
-    Micros watch_wait_ = kWatchRetry;
     std::vector<Action>* actions_ = nullptr;
     std::vector<double> usual_;  // us; usual latency of each class
     std::map<ServerId, Server> servers_;
