Close the oldest of many client connections at rest, and none whose answer is just leaving

Now beyond a third of the share the longest at rest go after 0.1 s. The lost request: make_room closed a client whose answer was given but not yet written (Session::between_requests).

--- a/src/clients/door.cpp
+++ b/src/clients/door.cpp
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr Micros kPause = 20'000;  // of the listener, when there are no descriptors
+constexpr int kRestingShare = 3;   // of the clients' share, that many times over: what may rest for long
+constexpr Micros kRestsInCrowd = 100'000;  // beyond it, connections rest only so long
+constexpr Micros kTidyEvery = 50'000;
 constexpr Micros kComplainEvery = 1'000'000;
 // After a stop. The proxy may be killed once the longest wait of any client, counted as 3 s at most, and 0.7
 // s more have passed; nothing may be unanswered then.
@@ -35,8 +38,24 @@
 
 Door::~Door() = default;
 
+// Clients bound how many connections they hold. Guards them against having all of theirs taken up by clients
+// that ask once and keep their connection: the longest at rest are closed until few enough are left.
+void Door::tidy() {
+    const Time now = deadlines_.now();
+    auto resting = std::count_if(sessions_.begin(), sessions_.end(),
+                                 [](const auto& s) { return s->has_asked() && s->rests(); });
+    for (auto it = sessions_.begin(); it != sessions_.end() && resting * kRestingShare > quota_.most();) {
+        auto& s = **it++;  // closing takes it off the list
+        if (!s.has_asked() || s.quiet_since() > now - kRestsInCrowd || !s.rests()) continue;
+        s.close();
+        --resting;
+    }
+    tidy_.set(deadlines_, now + kTidyEvery, [this] { tidy(); });
+}
+
 void Door::open() {
     if (stopping_since_) return;
+    tidy();
     const auto take = [this](evutil_socket_t fd) { accepted(fd); };
     const auto none_left = [this] { out_of_descriptors(); };
     listener_ = at_.passed_socket
--- a/src/clients/door.h
+++ b/src/clients/door.h
@@ -43,6 +43,7 @@
     void accepted(evutil_socket_t fd);
     void out_of_descriptors();
     bool make_room();
+    void tidy();
     void wind_down();
     void stop_listening();
     void used(Session& session) override;
@@ -57,7 +58,7 @@
     Sessions sessions_;  // the one used last at the back
     std::map<const Session*, Sessions::iterator> places_;
     std::unique_ptr<net::Listener> listener_;
-    Deadline resume_, stop_;
+    Deadline resume_, stop_, tidy_;
     Micros longest_wait_;
     bool succeeded_ = false;
     Time accepted_at_ = 0, complained_at_ = 0, stopping_since_ = 0;
--- a/src/clients/session.cpp
+++ b/src/clients/session.cpp
@@ -287,6 +287,10 @@
         return reply(out);
     }
     klass_ = -1;
+    if (turned_away_) {
+        klass_ = class_of(statement);
+        return refused(kBusyAdvice);
+    }
     traffic::Request request;
     auto& a = request.arrival;
     auto kept = std::make_shared<traffic::Statement>();
@@ -299,7 +303,6 @@
         if (klass == names.end())
             return say_error(pgwire::code::kInvalidParameter, "unknown class " + std::string(tags.klass));
         klass_ = static_cast<int>(klass - names.begin());
-        if (turned_away_) return refused(kBusyAdvice);
         if (!office_.desk.knows_group(tags.cluster)) {
             office_.numbers.answered(klass_, numbers::Numbers::shed);
             Builder(out)
@@ -325,14 +328,24 @@
         }
         id_ = tags.id;
     } catch (const pgwire::BadMessage& error) {
-        say_error(pgwire::code::kInvalidParameter, error.what());
-        return turned_away_ ? finish() : void();
+        return say_error(pgwire::code::kInvalidParameter, error.what());
     }
     request.statement = std::move(kept);
     connection_->bound_unread(kBehindRequest);
     request_ = office_.desk.take(std::move(request), *this);
 }
 
+// The class it names, as far as that can be read; for the figures.
+int Session::class_of(std::string_view statement) const {
+    try {
+        const auto& names = office_.class_names;
+        const auto klass = std::find(names.begin(), names.end(), pgwire::read_tags(statement).klass);
+        return klass == names.end() ? -1 : static_cast<int>(klass - names.begin());
+    } catch (const pgwire::BadMessage&) {
+        return -1;
+    }
+}
+
 void Session::give_back_id() {
     if (!id_.empty()) office_.open_ids.erase(id_);
     id_.clear();
@@ -360,6 +373,7 @@
 void Session::finish() {
     if (state_ == State::closed || state_ == State::finishing) return;
     state_ = State::finishing;
+    office_.room.leave(this);
     look_.clear();
     go_on_.clear();
     if (connection_->unwritten() == 0) return last_word_out();
--- a/src/clients/session.h
+++ b/src/clients/session.h
@@ -51,6 +51,7 @@
     bool opened() const { return connection_ != nullptr; }
     // Between requests, with nothing of the client's unread here: may be closed, the client will ask anew.
     bool between_requests() const;
+    bool has_asked() const { return asked_; }
     // The same, and its last answer has left as well: may be closed at once.
     bool rests() const;
     // Of no use to a client that asks: it has said nothing for a while since it came, or it is ending.
@@ -73,6 +74,7 @@
     bool read_one();  // false where there is nothing more to read now
     void renew_limit();
     void out_of_time();
+    int class_of(std::string_view statement) const;
     void give_back_id();
     void start_up(std::string_view body);
     bool read_large(std::size_t size);
--- a/src/net/quota.h
+++ b/src/net/quota.h
@@ -37,6 +37,7 @@
     bool over() const { return taken_ > most_; }
     bool full() const { return taken_ >= most_; }
     int taken() const { return taken_; }
+    int most() const { return most_; }
 
 private:
     friend class Slot;
--- a/tests/net/scenarios.cpp
+++ b/tests/net/scenarios.cpp
@@ -475,6 +475,28 @@
         c35 expect up ready
         x send startup read:99
         x expect up ready error:53300:1000 ready end)");
+    // Clients that ask once and keep their connection would use up all that clients may hold.
+    std::string once;
+    for (int i = 0; i < 20; ++i) {
+        const auto c = "c" + std::to_string(i);
+        once += c + " send startup empty\n" + c + " expect up ready empty ready\n";
+    }
+    play("of many connections at rest the oldest are closed", few, once + R"(
+        c0 expect end
+        c7 expect end
+        c19 send empty
+        c19 expect empty ready)");
+    // The answer has been given, but is not with the kernel yet: guards against closing its connection, in
+    // the same turn, to make room for another, which would lose the request.
+    play("a client whose answer is just leaving makes no room", few, busy + R"(
+        c35 expect up ready
+        m1.1 expect startup
+        m1.1 send up
+        m1.1 expect query:id=0
+        c0 expect up ready
+        m1.1 send row:v
+        x send startup
+        c0 expect row:v ready)");
 }
 
 void stopping() {
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -775,4 +775,67 @@
     }
 }
 
+// All proxies of a large fleet lose the same primary at once: guards its group against the probes of all.
+TEST(Probes, ManyRoutersProbeMoreSeldom) {
+    const auto probes_in_half_a_second = [](int routers) {
+        auto s = base();
+        s.routers = routers;
+        s.may_probe = s.probes_report = true;
+        Bench b(s);
+        b.arrive(1, kWrite);
+        b.step();
+        int count = 0;
+        for (int i = 0; i < 100; ++i) {
+            b.tick();
+            for (const auto& a : b.actions) count += std::holds_alternative<Probe>(a);
+        }
+        return count;
+    };
+    EXPECT_EQ(probes_in_half_a_second(48), 0);
+    EXPECT_GE(probes_in_half_a_second(4), 3);
+}
+
+// What operators read of it: members left out by the router's choice, not those that have to be left out.
+TEST(Health, TellsHowManyItAvoids) {
+    Bench b(base());
+    b.settle(1);
+    EXPECT_EQ(b.router.avoided(), 0u);
+    for (RequestId id = 1; id < 200 && b.router.avoided() == 0; ++id) {
+        b.arrive(id, kAny);
+        b.step(20'000);
+        const auto to = b.sent_to(id);
+        if (!to) continue;
+        if (*to == 2)
+            b.end(id, 2, Outcome::connect_failed, Role::unknown, 0, true);
+        else
+            b.ok(id, *to, *to == 1 ? Role::primary : Role::replica, b.now);
+        b.step();
+    }
+    EXPECT_EQ(b.router.avoided(), 1u);
+    b.tell(ListKind::changes, {Bench::entry(2, ServerState::draining)});
+    b.step();
+    EXPECT_EQ(b.router.avoided(), 0u);
+}
+
+// A begun answer is the client's: it is neither given up at its deadline nor is its server taken for silent
+// while it passes.
+TEST(Answers, ABegunOneIsGivenUpNoMore) {
+    Bench b(base());
+    b.settle(1);
+    b.arrive(1, kAny);
+    b.step();
+    const auto to = b.sent_to(1);
+    ASSERT_TRUE(to);
+    b.events.emplace_back(AnswerStarted{1, 0, *to, 30'000});
+    b.step(30'000);
+    for (int i = 0; i < 600; ++i) {
+        b.tick();
+        EXPECT_FALSE(b.find<Fail>(1) || b.find<Refuse>(1) || b.find<Cancel>(1));
+    }
+    EXPECT_EQ(b.router.avoided(), 0u);
+    b.end(1, *to, Outcome::reset, Role::unknown, 0, true);
+    b.step();
+    EXPECT_FALSE(b.sent_to(1));
+}
+
 }  // namespace
