--- /dev/null
+++ b/scripts/packages.sh
@@ -0,0 +1,19 @@
+# Sourced by the other scripts: installs those Debian packages that are missing. A word is PACKAGE:FILE, the file by
+# which it is known to be there.
+install_missing() {
+    local missing=() want
+    for want in "$@"; do
+        [ -e "${want#*:}" ] || missing+=("${want%%:*}")
+    done
+    [ ${#missing[@]} -gt 0 ] || return 0
+    local as=()
+    [ "$(id -u)" = 0 ] || as=(sudo)
+    echo "installing ${missing[*]}"
+    "${as[@]}" apt-get update -qq
+    "${as[@]}" env DEBIAN_FRONTEND=noninteractive apt-get install -y -qq "${missing[@]}" >/dev/null
+}
+build_packages=(cmake:/usr/bin/cmake g++:/usr/bin/c++ make:/usr/bin/make libevent-dev:/usr/include/event2/event.h
+    nlohmann-json3-dev:/usr/include/nlohmann/json.hpp libcxxopts-dev:/usr/include/cxxopts.hpp
+    libpcap-dev:/usr/include/pcap/pcap.h libtins-dev:/usr/include/tins/tins.h libxxhash-dev:/usr/include/xxhash.h)
+test_packages=(libgtest-dev:/usr/include/gtest/gtest.h librapidcheck-dev:/usr/include/rapidcheck.h
+    clang-format:/usr/bin/clang-format)
--- /dev/null
+++ b/src/app/ctl/pcap.cpp
@@ -0,0 +1,378 @@
+// sloestackctl pcap make, info and replay.
+#include <unistd.h>
+
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+#include <filesystem>
+#include <iostream>
+
+#include "ctl/play.h"
+#include "standin/make.h"
+
+namespace sloestack::ctl {
+namespace {
+
+constexpr std::size_t kCutRecord = 7;  // bytes taken off the end of a file for the damage "truncate"
+constexpr Micros kStartsIn = 50'000;   // from the call to the first step of a replay
+
+std::vector<std::string> words(const std::string& text, char at) {
+    std::vector<std::string> out;
+    for (std::size_t from = 0; from <= text.size();) {
+        const auto end = std::min(text.find(at, from), text.size());
+        out.push_back(text.substr(from, end - from));
+        from = end + 1;
+    }
+    return out;
+}
+
+double number(const std::string& text, const std::string& option) {
+    double out = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out);
+    if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(out))
+        throw BadCall("--" + option + ": \"" + text + "\" is no number");
+    return out;
+}
+
+sockaddr_in address(const std::string& text, const std::string& option) {
+    const auto at = net::parse_address(text);
+    if (!at) throw BadCall("--" + option + ": \"" + text + "\" is no address such as 127.0.0.1:6432");
+    return *at;
+}
+
+schedule::Stretch stretch(const std::string& text) {
+    const auto parts = words(text, ':');
+    if (parts.size() != 3)
+        throw BadCall("--stretch: FROM:TO:FACTOR is wanted, in seconds of the file, such as 30:60:0.5");
+    return {static_cast<Micros>(number(parts[0], "stretch") * 1e6),
+            static_cast<Micros>(number(parts[1], "stretch") * 1e6), number(parts[2], "stretch")};
+}
+
+}  // namespace
+
+int pcap_make(const Arguments& arguments) {
+    cxxopts::Options options("sloestackctl pcap make", "Makes a capture file of roster traffic.");
+    options.add_options()("minutes", "how long", cxxopts::value<double>()->default_value("1"))(
+        "rate", "requests a second", cxxopts::value<double>()->default_value("200"))(
+        "seed", "equal seeds make equal files", cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "groups", "banks that the requests name", cxxopts::value<int>()->default_value("2"))(
+        "clients", "connections at once, at least", cxxopts::value<std::size_t>()->default_value("0"))(
+        "faults",
+        "damage to a connection each, separated by commas, NAME*N for N connections: " +
+            standin::damage_names(),
+        cxxopts::value<std::string>()->default_value(""))(
+        "o,output", "the file", cxxopts::value<std::string>())("json", "report as JSON");
+    const auto parsed = parse(options, arguments, {});
+    if (!parsed) return kGood;
+    standin::MakeSettings settings;
+    const auto minutes = (*parsed)["minutes"].as<double>();
+    settings.rate = (*parsed)["rate"].as<double>();
+    settings.groups = (*parsed)["groups"].as<int>();
+    if (!(minutes > 0 && minutes <= 1440)) throw BadCall("--minutes must lie above 0 and up to 1440");
+    if (!(settings.rate > 0 && settings.rate <= 100'000))
+        throw BadCall("--rate must lie above 0 and up to 100000");
+    if (settings.groups < 1 || settings.groups > 1000) throw BadCall("--groups must lie between 1 and 1000");
+    settings.clients = (*parsed)["clients"].as<std::size_t>();
+    if (settings.clients > 40'000)
+        throw BadCall("--clients must be 40000 at most: a recording has one client machine");
+    settings.length_us = static_cast<std::int64_t>(minutes * 60e6);
+    settings.seed = (*parsed)["seed"].as<std::uint64_t>();
+    settings.damage = standin::parse_damage((*parsed)["faults"].as<std::string>());
+    const auto path = required(*parsed, "output");
+    pcap::File file(path);
+    const auto made = standin::make(settings, file);
+    file.close();
+    if (std::find(settings.damage.begin(), settings.damage.end(), standin::Damage::truncate) !=
+        settings.damage.end())
+        std::filesystem::resize_file(path, std::filesystem::file_size(path) - kCutRecord);
+    if (!made.not_done.empty())
+        throw BadCall(std::to_string(made.not_done.size()) +
+                      " of the faults found no connection of their own; the file is there without them; more "
+                      "minutes or "
+                      "a higher rate make more connections");
+    if (parsed->count("json"))
+        std::cout << nlohmann::json{{"file", path},
+                                    {"packets", file.frames()},
+                                    {"requests", made.requests},
+                                    {"connections", made.connections}}
+                         .dump(2)
+                  << "\n";
+    else
+        std::cout << path << ": " << file.frames() << " packets, " << made.requests << " requests on "
+                  << made.connections << " connections\n";
+    return kGood;
+}
+
+// ---- info ----
+conversation::RecordingSettings recording_settings(const cxxopts::ParseResult& parsed) {
+    conversation::RecordingSettings out;
+    if (parsed.count("server"))
+        for (const auto& text : words(parsed["server"].as<std::string>(), ',')) {
+            const auto at = address(text, "server");
+            pcap::Endpoint e;
+            std::memcpy(e.address.data(), &at.sin_addr, 4);
+            e.port = ntohs(at.sin_port);
+            out.servers.push_back(e);
+        }
+    out.streams.vlans_apart = parsed.count("vlans-apart") > 0;
+    return out;
+}
+
+nlohmann::json to_json(const conversation::Figures& f, const std::string& fault) {
+    nlohmann::json cut = nlohmann::json::array();
+    for (const auto& c : f.cut)
+        cut.push_back({{"stream", c.stream},
+                       {"side", c.side == conversation::Side::client ? "client" : "server"},
+                       {"offset", c.offset},
+                       {"reason", c.reason}});
+    nlohmann::json out = {{"packets", f.packets},
+                          {"bytes", f.bytes},
+                          {"streams", f.streams},
+                          {"requests", f.requests_by_class},
+                          {"answers", f.answers},
+                          {"cut", cut},
+                          {"cuts", f.cuts},
+                          {"backwards", f.backwards},
+                          {"farthest_back_us", f.farthest_back_us},
+                          {"skipped", f.skipped},
+                          {"servers", f.servers},
+                          {"ends", f.ends},
+                          {"doubled_ids", f.doubled_ids},
+                          {"tcp",
+                           {{"retransmitted", f.tcp.retransmitted},
+                            {"conflicting", f.tcp.conflicting},
+                            {"uncompared", f.tcp.uncompared},
+                            {"out_of_order", f.tcp.out_of_order},
+                            {"half_open", f.tcp.half_open},
+                            {"two_vlans", f.tcp.two_vlans},
+                            {"stray", f.tcp.stray}}}};
+    if (f.first_us) {
+        out["first_us"] = *f.first_us;
+        out["seconds"] = static_cast<double>(*f.last_us - *f.first_us) / 1e6;
+    }
+    if (!fault.empty()) out["fault"] = fault;
+    return out;
+}
+
+namespace {
+
+struct Nobody final : conversation::Listener {
+    void asked(const conversation::Asked&) override {}
+    void answered(const conversation::Answered&) override {}
+};
+
+void print(const conversation::Figures& f, const std::string& fault) {
+    const auto table = [](const char* title, const std::map<std::string, std::uint64_t>& rows) {
+        if (rows.empty()) return;
+        std::printf("%s\n", title);
+        for (const auto& [name, count] : rows)
+            std::printf("  %-52s %12llu\n", name.c_str(), static_cast<unsigned long long>(count));
+    };
+    std::printf("%llu packets, %llu streams, %llu requests in %.1f s\n",
+                static_cast<unsigned long long>(f.packets), static_cast<unsigned long long>(f.streams),
+                static_cast<unsigned long long>(f.requests),
+                f.first_us ? static_cast<double>(*f.last_us - *f.first_us) / 1e6 : 0.0);
+    table("requests by class", f.requests_by_class);
+    table("answers", f.answers);
+    table("servers (--server plays only some)", f.servers);
+    table("skipped", f.skipped);
+    if (f.backwards)
+        std::printf("timestamps that go backwards: %llu, by %lld us at most\n",
+                    static_cast<unsigned long long>(f.backwards), static_cast<long long>(f.farthest_back_us));
+    if (f.tcp.conflicting)
+        std::printf("retransmitted with other bytes: %llu; the first ones count\n",
+                    static_cast<unsigned long long>(f.tcp.conflicting));
+    for (const auto& c : f.cut)
+        std::printf("cut: %s, %s side at byte %llu: %s\n", c.stream.c_str(),
+                    c.side == conversation::Side::client ? "client" : "server",
+                    static_cast<unsigned long long>(c.offset), c.reason.c_str());
+    if (!fault.empty()) std::printf("the file ends early: %s\n", fault.c_str());
+}
+
+}  // namespace
+
+int pcap_info(const Arguments& arguments) {
+    cxxopts::Options options("sloestackctl pcap info",
+                             "Says what a capture file holds. Exit code 1 where part of it cannot be read.");
+    options.add_options()("json", "report as JSON")(
+        "server", "only streams to these, separated by commas, such as 10.0.0.4:5433",
+        cxxopts::value<std::string>())("vlans-apart", "equal addresses on two VLANs are two streams");
+    const auto parsed = parse(options, arguments, {"file"});
+    if (!parsed) return kGood;
+    Nobody nobody;
+    conversation::Recording recording(required(*parsed, "file"), conversation::postgres(),
+                                      recording_settings(*parsed), nobody);
+    while (recording.step()) {
+    }
+    const auto& f = recording.figures();
+    if (parsed->count("json"))
+        std::cout << to_json(f, recording.fault()).dump(2) << "\n";
+    else
+        print(f, recording.fault());
+    return f.cuts > 0 || !recording.fault().empty() ? kFound : kGood;
+}
+
+// ---- replay ----
+void add_play_options(cxxopts::Options& options) {
+    options.add_options()("speed", "2 plays in half the time", cxxopts::value<double>()->default_value("1"))(
+        "rate-cap", "requests a second at most; 0: as recorded",
+        cxxopts::value<double>()->default_value("0"))(
+        "stretch", "FROM:TO:FACTOR: that range of the file, in seconds, takes FACTOR times as long",
+        cxxopts::value<std::string>())("rounds",
+                                       "play the file so often, with new ids and keys after the first time",
+                                       cxxopts::value<int>()->default_value("1"))(
+        "seed", "of the new ids", cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "backwards", "clamp or sort timestamps that go backwards",
+        cxxopts::value<std::string>()->default_value("clamp"))(
+        "sort-window", "seconds of the file within which sort puts in order",
+        cxxopts::value<double>()->default_value("2"))("late", "send or skip what is late",
+                                                      cxxopts::value<std::string>()->default_value("send"))(
+        "late-after", "milliseconds from which a request is late",
+        cxxopts::value<double>()->default_value("100"))(
+        "most-open", "requests without an answer at once",
+        cxxopts::value<std::size_t>()->default_value("50000"))(
+        "server", "only streams to these, separated by commas, such as 10.0.0.4:5433",
+        cxxopts::value<std::string>())("vlans-apart", "equal addresses on two VLANs are two streams")(
+        "write", "both sides of what happens, as a capture file", cxxopts::value<std::string>())(
+        "json", "report as JSON");
+}
+
+replay::Settings play_settings(const cxxopts::ParseResult& parsed, const std::string& path) {
+    replay::Settings out;
+    out.path = path;
+    auto& s = out.schedule;
+    s.speed = parsed["speed"].as<double>();
+    s.most_per_second = parsed["rate-cap"].as<double>();
+    if (parsed.count("stretch")) s.stretch = stretch(parsed["stretch"].as<std::string>());
+    s.rounds = parsed["rounds"].as<int>();
+    s.seed = parsed["seed"].as<std::uint64_t>();
+    s.most_open = parsed["most-open"].as<std::size_t>();
+    const auto pick = [&](const char* option, const char* one, const char* other) {
+        const auto said = parsed[option].as<std::string>();
+        if (said != one && said != other)
+            throw BadCall(std::string("--") + option + ": " + one + " or " + other + " is wanted, not \"" +
+                          said + "\"");
+        return said == one;
+    };
+    s.backwards = pick("backwards", "clamp", "sort") ? schedule::Backwards::clamp : schedule::Backwards::sort;
+    s.late = pick("late", "send", "skip") ? schedule::Late::send : schedule::Late::skip;
+    s.sort_window = static_cast<Micros>(parsed["sort-window"].as<double>() * 1e6);
+    s.late_after = static_cast<Micros>(parsed["late-after"].as<double>() * 1e3);
+    out.recording = recording_settings(parsed);
+    return out;
+}
+
+nlohmann::json quantiles(const histogram::Histogram& h) {
+    return {{"count", h.count()}, {"p50", h.quantile(0.5)}, {"p99", h.quantile(0.99)}, {"most", h.most()}};
+}
+
+nlohmann::json to_json(const replay::Report& r, const schedule::Counters& c) {
+    nlohmann::json differences = nlohmann::json::array(), classes = nlohmann::json::object();
+    for (const auto& d : r.named)
+        differences.push_back({{"stream", d.connection},
+                               {"number", d.number},
+                               {"round", d.round},
+                               {"id", d.id},
+                               {"class", d.klass},
+                               {"what", d.what},
+                               {"cause", conversation::to_text(d.cause)}});
+    for (const auto& [name, k] : r.classes)
+        classes[name] = {{"sent", k.sent},     {"served", k.served}, {"refused", k.refused},
+                         {"failed", k.failed}, {"none", k.none},     {"latency_us", quantiles(k.latency_us)}};
+    return {{"sent", r.sent},
+            {"answers", r.answers},
+            {"same", r.same},
+            {"different", r.different},
+            {"unexplained", r.unexplained},
+            {"causes", r.causes},
+            {"without_recorded_answer", r.unrecorded},
+            {"differences", differences},
+            {"skipped", r.skipped},
+            {"classes", classes},
+            {"connections", r.connections},
+            {"broken", r.broken},
+            {"resent", r.resent},
+            {"late_us", quantiles(r.late_us)},
+            {"own_late_us", quantiles(r.own_late_us)},
+            {"late", c.late},
+            {"backwards", c.backwards},
+            {"held",
+             {{"order", c.held_by_order},
+              {"id", c.held_by_id},
+              {"budget", c.held_by_budget},
+              {"rate", c.held_by_rate}}}};
+}
+
+bool explained(const replay::Report& report) { return report.unexplained == 0; }
+
+void print(const replay::Report& r, const schedule::Counters& c) {
+    std::printf("%-14s %9s %9s %9s %9s %9s %9s %9s\n", "class", "sent", "served", "refused", "failed", "none",
+                "p50 ms", "p99 ms");
+    for (const auto& [name, k] : r.classes)
+        std::printf("%-14s %9llu %9llu %9llu %9llu %9llu %9.1f %9.1f\n", name.c_str(),
+                    static_cast<unsigned long long>(k.sent), static_cast<unsigned long long>(k.served),
+                    static_cast<unsigned long long>(k.refused), static_cast<unsigned long long>(k.failed),
+                    static_cast<unsigned long long>(k.none),
+                    static_cast<double>(k.latency_us.quantile(0.5)) / 1e3,
+                    static_cast<double>(k.latency_us.quantile(0.99)) / 1e3);
+    std::printf("answers as recorded: %llu; different: %llu", static_cast<unsigned long long>(r.same),
+                static_cast<unsigned long long>(r.different));
+    for (const auto& [cause, count] : r.causes)
+        std::printf(", %s %llu", cause == "none" ? "without a decision as their cause" : cause.c_str(),
+                    static_cast<unsigned long long>(count));
+    std::printf("; recorded without an answer: %llu\n", static_cast<unsigned long long>(r.unrecorded));
+    for (const auto& [why, count] : r.skipped)
+        std::printf("skipped: %llu, %s\n", static_cast<unsigned long long>(count), why.c_str());
+    std::printf("sends late: p50 %lld us, p99 %lld us, %llu by more than the limit\n",
+                static_cast<long long>(r.own_late_us.quantile(0.5)),
+                static_cast<long long>(r.own_late_us.quantile(0.99)),
+                static_cast<unsigned long long>(c.late));
+    for (const auto& d : r.named)
+        if (d.cause == conversation::Cause::none)
+            std::printf("unexplained: stream %llu request %u, id %s: %s\n",
+                        static_cast<unsigned long long>(d.connection), d.number, d.id.c_str(),
+                        d.what.c_str());
+}
+
+int pcap_replay(const Arguments& arguments) {
+    cxxopts::Options options(
+        "sloestackctl pcap replay",
+        "Plays a capture against a proxy. Exit code 1 where an answer differs and no decision of "
+        "the proxy is the cause.");
+    options.add_options()("to", "the proxy's address", cxxopts::value<std::string>());
+    add_play_options(options);
+    const auto parsed = parse(options, arguments, {"file"});
+    if (!parsed) return kGood;
+    auto settings = play_settings(*parsed, required(*parsed, "file"));
+    settings.to = address(required(*parsed, "to"), "to");
+    const Clock clock;
+    net::Loop loop;
+    Deadlines deadlines(clock);
+    std::unique_ptr<pcap::File> file;
+    std::unique_ptr<writer::Writer> out;
+    if (parsed->count("write")) {
+        file = std::make_unique<pcap::File>((*parsed)["write"].as<std::string>());
+        out = std::make_unique<writer::Writer>(writer::Settings{}, *file);
+    }
+    replay::Replay run(loop, deadlines, settings, conversation::postgres(), deadlines.now() + kStartsIn,
+                       out.get());
+    while (!run.over()) {
+        run.work();
+        if (run.over()) break;
+        const auto next = deadlines.next();
+        loop.run_once(next ? std::optional<Micros>(*next - deadlines.now()) : std::nullopt);
+        deadlines.sweep();
+        loop.end_turn();
+    }
+    if (file) file->close();
+    if (parsed->count("json")) {
+        auto report = to_json(run.report(), run.schedule().counters());
+        report["file"] = to_json(run.file(), run.file_fault());
+        std::cout << report.dump(2) << "\n";
+    } else {
+        print(run.report(), run.schedule().counters());
+    }
+    return explained(run.report()) ? kGood : kFound;
+}
+
+}  // namespace sloestack::ctl
--- /dev/null
+++ b/src/app/ctl/rig.cpp
@@ -0,0 +1,188 @@
+#include "ctl/rig.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+
+#include "net/connection.h"
+#include "pgwire/build.h"
+#include "pgwire/frame.h"
+#include "standin/settings.h"
+
+namespace sloestack::ctl {
+namespace {
+
+constexpr Micros kComesUp = 10'000'000;  // a proxy is ready within milliseconds; this only ends a hang
+constexpr Micros kLookAgain = 20'000;
+constexpr Micros kLongestTurn = 100'000;
+constexpr int kStopsWithin = 100;  // looks of 100 ms after SIGTERM: its longest deadline is 5 s
+
+// An address where nothing listens and nobody else goes: outgoing connections here leave from 127.0.0.1, so
+// while the proxy is down none of them can take its port, nor meet itself.
+sockaddr_in free_address() {
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK + 1);
+    socklen_t size = sizeof at;
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    const bool got = bind(fd, reinterpret_cast<sockaddr*>(&at), size) == 0 &&
+                     getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size) == 0;
+    close(fd);
+    if (!got) throw std::runtime_error(std::string("no address for the proxy: ") + std::strerror(errno));
+    return at;
+}
+
+}  // namespace
+
+// Asks what the platform's front asks: an empty query, until it is answered.
+class Rig::Ready final : public net::ConnectionEvents {
+public:
+    explicit Ready(Rig& of) : of_(of) { open(); }
+    bool is() const { return is_; }
+    void connected() override {
+        std::string out;
+        pgwire::Builder(out).startup("portal", "crm").query("");
+        connection_->write(out);
+    }
+    void received() override {
+        try {
+            while (const auto m = pgwire::next_message(connection_->unread())) {
+                if (m->type == 'I') is_ = true;
+                if (m->type == 'E') return ended(net::Ending::broken);
+                connection_->consume(m->size);
+            }
+        } catch (const pgwire::BadMessage&) {
+            ended(net::Ending::broken);
+        }
+    }
+    void ended(net::Ending) override {
+        connection_.reset();
+        again_.set(of_.deadlines_, of_.deadlines_.now() + kLookAgain, [this] { open(); });
+    }
+
+private:
+    void open() { connection_ = net::Connection::open(of_.loop_, of_.address_, 1 << 16, *this); }
+    Rig& of_;
+    bool is_ = false;
+    Deadline again_;
+    std::unique_ptr<net::Connection> connection_;
+};
+
+Rig::Rig(const RigSettings& settings) : settings_(settings), address_(free_address()) {
+    fleet_ = std::make_unique<standin::Fleet>(loop_, deadlines_, settings.fleet, checker_,
+                                              [this](Micros down_for) { kill_for(down_for); });
+    char folder[] = "/tmp/sloestack-rig-XXXXXX";
+    if (!mkdtemp(static_cast<char*>(folder)))
+        throw std::runtime_error("no folder for the proxy's configuration");
+    folder_ = static_cast<char*>(folder);
+    const auto known = nlohmann::json::parse(fleet_->list(true, 0));
+    std::ofstream(folder_ + "/config.json")
+        << standin::proxy_config(proxy_text(), fleet_->discovery(), known, settings.sockets).dump(2);
+    start();
+    Ready ready(*this);
+    const auto hopeless = deadlines_.now() + kComesUp;
+    run([&] {
+        int status = 0;
+        if (child_ > 0 && waitpid(child_, &status, WNOHANG) == child_) {
+            child_ = -1;
+            throw std::runtime_error("the proxy ended before it was ready; --verbose shows its log");
+        }
+        if (deadlines_.now() > hopeless) throw std::runtime_error("the proxy does not answer");
+        return ready.is();
+    });
+}
+
+Rig::~Rig() {
+    if (child_ > 0) {
+        ::kill(child_, SIGKILL);
+        waitpid(child_, nullptr, 0);
+    }
+    std::error_code ignored;
+    if (!folder_.empty()) std::filesystem::remove_all(folder_, ignored);
+}
+
+std::string Rig::proxy_text() const {
+    char text[INET_ADDRSTRLEN] = "";
+    inet_ntop(AF_INET, &address_.sin_addr, static_cast<char*>(text), sizeof text);
+    return std::string(static_cast<char*>(text)) + ":" + std::to_string(ntohs(address_.sin_port));
+}
+
+void Rig::start() {
+    const auto program =
+        (std::filesystem::read_symlink("/proc/self/exe").parent_path() / "sloestack").string();
+    const auto variable = "EDGE_CONFIG=" + folder_ + "/config.json";
+    child_ = fork();
+    if (child_ < 0) throw std::runtime_error("the proxy cannot be started");
+    if (child_ > 0) return;
+    if (!settings_.verbose) {
+        const int none = open("/dev/null", O_WRONLY);
+        dup2(none, STDERR_FILENO);
+        dup2(none, STDOUT_FILENO);
+    }
+    // Of this program's descriptors it needs none.
+    close_range(3, ~0u, 0);
+    const char* words[] = {program.c_str(), "serve", nullptr};
+    const char* variables[] = {variable.c_str(), nullptr};
+    execve(program.c_str(), const_cast<char**>(words), const_cast<char**>(variables));
+    _exit(127);
+}
+
+void Rig::kill_for(Micros down_for) {
+    if (child_ <= 0) return;
+    ::kill(child_, SIGKILL);
+    waitpid(child_, nullptr, 0);
+    child_ = -1;
+    again_.set(deadlines_, deadlines_.now() + down_for, [this] { start(); });
+}
+
+void Rig::turn() {
+    Micros at_most = kLongestTurn;
+    if (const auto next = deadlines_.next()) at_most = std::min(at_most, *next - deadlines_.now());
+    loop_.run_once(at_most);
+    deadlines_.sweep();
+    loop_.end_turn();
+}
+
+void Rig::run(const std::function<bool()>& until, const std::function<void()>& work) {
+    while (!until()) {
+        if (work) work();
+        turn();
+    }
+}
+
+bool Rig::stop() {
+    if (child_ <= 0) return false;
+    ::kill(child_, SIGTERM);
+    for (int i = 0; i < kStopsWithin; ++i) {
+        int status = 0;
+        if (waitpid(child_, &status, WNOHANG) == child_) {
+            child_ = -1;
+            return WIFEXITED(status) && WEXITSTATUS(status) == 0;
+        }
+        turn();
+    }
+    return false;
+}
+
+std::int64_t Rig::resident_kb() const {
+    std::ifstream in("/proc/" + std::to_string(child_) + "/status");
+    for (std::string word; in >> word;)
+        if (word == "VmRSS:") {
+            std::int64_t out = 0;
+            in >> out;
+            return out;
+        }
+    return 0;
+}
+
+}  // namespace sloestack::ctl
--- /dev/null
+++ b/src/app/ctl/rig.h
@@ -0,0 +1,62 @@
+// Stand-ins and a proxy of their own, on loopback: what demo and rehearse play against. The proxy is the
+// program itself, started as a child beside this one, so that it can be killed and started again.
+#pragma once
+
+#include <sys/types.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "deadlines/deadlines.h"
+#include "net/loop.h"
+#include "standin/checker.h"
+#include "standin/fleet.h"
+
+namespace sloestack::ctl {
+
+struct RigSettings {
+    standin::FleetSettings fleet;
+    bool verbose = false;  // the proxy's log goes to standard error
+    int sockets = 8192;
+};
+
+class Rig {
+public:
+    // Returns once the proxy answers. Throws std::runtime_error where it does not come up.
+    explicit Rig(const RigSettings& settings);
+    ~Rig();  // ends the proxy, and only that
+    Rig(const Rig&) = delete;
+    Rig& operator=(const Rig&) = delete;
+
+    sockaddr_in proxy() const { return address_; }
+    std::string proxy_text() const;
+    net::Loop& loop() { return loop_; }
+    Deadlines& deadlines() { return deadlines_; }
+    standin::Checker& checker() { return checker_; }
+    standin::Fleet& fleet() { return *fleet_; }
+    // Takes turns until it holds; `work` is done in each.
+    void run(const std::function<bool()>& until, const std::function<void()>& work = {});
+    // SIGTERM, and whether the proxy then ended with 0.
+    bool stop();
+    std::int64_t resident_kb() const;  // the proxy's, 0 where it cannot be told
+
+private:
+    class Ready;
+    void start();
+    void kill_for(Micros down_for);
+    void turn();
+
+    RigSettings settings_;
+    Clock clock_;
+    net::Loop loop_;
+    Deadlines deadlines_{clock_};
+    standin::Checker checker_{standin::Rules{}};
+    std::unique_ptr<standin::Fleet> fleet_;
+    sockaddr_in address_{};
+    std::string folder_;
+    pid_t child_ = -1;
+    Deadline again_;
+};
+
+}  // namespace sloestack::ctl
--- a/src/front/clients/session.cpp
+++ b/src/front/clients/session.cpp
@@ -229,13 +229,7 @@
     std::string out;
     Builder build(out);
     if (asked.minor > 0) build.negotiate_minor();
-    build.authentication_ok()
-        .parameter("server_version", "15.0 (sloestack)")
-        .parameter("server_encoding", "UTF8")
-        .parameter("client_encoding", "UTF8")
-        .parameter("standard_conforming_strings", "on")
-        .backend_key(0, 0)
-        .ready();
+    build.greeting();
     reply(out);
 }
 
--- a/src/net/net/connection.cpp
+++ b/src/net/net/connection.cpp
@@ -125,6 +125,13 @@
 void Connection::end_writing() { shutdown(bufferevent_getfd(bev_.get()), SHUT_WR); }
 std::size_t Connection::unwritten() const { return evbuffer_get_length(bufferevent_get_output(bev_.get())); }
 
+sockaddr_in Connection::local() const {
+    sockaddr_in at{};
+    socklen_t size = sizeof at;
+    getsockname(bufferevent_getfd(bev_.get()), reinterpret_cast<sockaddr*>(&at), &size);
+    return at;
+}
+
 bool Connection::healthy() const {
     int error = 0;
     socklen_t size = sizeof error;
--- a/src/net/net/connection.h
+++ b/src/net/net/connection.h
@@ -60,6 +60,7 @@
     std::size_t held() const;  // bytes received and not consumed
     // No more will be written; the peer sees an end once it has read all. Input still comes.
     void end_writing();
+    sockaddr_in local() const;  // this end's address, all zero where there is none yet
     // Whether the socket is free of errors; looks at the kernel's side, so also at what no callback told yet.
     bool healthy() const;
     // Whether nothing waits in the kernel: no bytes unread, no end, no error.
--- a/src/wire/pgwire/build.cpp
+++ b/src/wire/pgwire/build.cpp
@@ -55,6 +55,15 @@
 Builder& Builder::negotiate_minor() {
     return message('v', [&] { int32(kProtocol30), int32(0); });
 }
+Builder& Builder::greeting() {
+    return authentication_ok()
+        .parameter("server_version", "15.0 (sloestack)")
+        .parameter("server_encoding", "UTF8")
+        .parameter("client_encoding", "UTF8")
+        .parameter("standard_conforming_strings", "on")
+        .backend_key(0, 0)
+        .ready();
+}
 Builder& Builder::ready() {
     return message('Z', [&] { out_.push_back('I'); });
 }
--- a/src/wire/pgwire/build.h
+++ b/src/wire/pgwire/build.h
@@ -35,6 +35,7 @@
     Builder& parameter(std::string_view name, std::string_view value);
     Builder& backend_key(std::uint32_t process, std::uint32_t secret);
     Builder& negotiate_minor();  // only 3.0 is spoken
+    Builder& greeting();         // all that this program says to a client that begins a session
     Builder& ready();
     Builder& empty_query();
     Builder& row_description(std::string_view column, std::uint32_t type, bool binary);
--- /dev/null
+++ b/standin/settings.h
@@ -0,0 +1,14 @@
+// The configuration of a proxy before stand-ins: the roster's classes with the times and rules of its
+// operators.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace standin {
+
+// As EDGE_CONFIG's file has it. `known` is discovery's whole list, or null.
+nlohmann::json proxy_config(const std::string& listen, const std::string& discovery,
+                            const nlohmann::json& known, int sockets);
+
+}  // namespace standin
--- /dev/null
+++ b/standin/values.cpp
@@ -0,0 +1,100 @@
+#include "standin/values.h"
+
+#include <cmath>
+#include <cstdio>
+
+#include "pgwire/build.h"
+
+namespace standin {
+namespace {
+
+constexpr std::uint32_t kBytea = 17;
+constexpr std::size_t kLargeValue = 100'000;  // beyond what the proxy gathers whole
+constexpr std::uint64_t kLargeEvery = 4096;   // one code in so many has such a value
+
+std::string hex(std::string_view bytes) {
+    constexpr char digits[] = "0123456789abcdef";
+    std::string out;
+    out.reserve(bytes.size() * 2);
+    for (const unsigned char c : bytes) {
+        out.push_back(digits[c >> 4]);
+        out.push_back(digits[c & 15]);
+    }
+    return out;
+}
+
+int nibble(char c) { return c >= '0' && c <= '9' ? c - '0' : c >= 'a' && c <= 'f' ? c - 'a' + 10 : 0; }
+
+}  // namespace
+
+std::uint64_t Random::next() {
+    std::uint64_t z = (state_ += 0x9e3779b97f4a7c15u);
+    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9u;
+    z = (z ^ (z >> 27)) * 0x94d049bb133111ebu;
+    return z ^ (z >> 31);
+}
+std::int64_t Random::between(std::int64_t least, std::int64_t most) {
+    return most <= least
+               ? least
+               : least + static_cast<std::int64_t>(next() % static_cast<std::uint64_t>(most - least + 1));
+}
+double Random::exponential(double mean) { return -mean * std::log(1 - unit()); }
+
+std::uint64_t mixed(std::uint64_t seed, std::string_view text) {
+    std::uint64_t out = seed ^ 14695981039346656037u;
+    for (const unsigned char c : text) out = (out ^ c) * 1099511628211u;
+    return Random(out).next();
+}
+std::string hex16(std::uint64_t value) {
+    char text[17];
+    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(value));
+    return text;
+}
+
+std::string statement_of(const Question& q) {
+    const auto& c = kClasses[q.klass];
+    std::string tags = " /* id=" + q.id + ",c=" + c.name + ",d=" + std::to_string(q.left_ms);
+    if (!q.key.empty()) tags += ",k=" + q.key;
+    tags += ",cluster=" + std::to_string(q.group) + (q.repeat ? ",r=1 */" : " */");
+    if (!c.write) return "SELECT data FROM facts WHERE code = '" + q.code + "'" + tags;
+    return "INSERT INTO facts (code, data) VALUES ('" + q.code + "', '\\x" + hex(q.data) +
+           "') RETURNING data" + tags;
+}
+
+std::string value_of(std::string_view code) {
+    Random random(mixed(7, code));
+    const bool large = random.next() % kLargeEvery == 0;
+    std::string out(large ? kLargeValue : static_cast<std::size_t>(random.between(16, 300)), '\0');
+    for (auto& c : out) c = static_cast<char>(random.next());
+    return out;
+}
+
+std::string code_in(std::string_view statement) {
+    const auto from = statement.find('\'');
+    const auto to = from == std::string_view::npos ? from : statement.find('\'', from + 1);
+    return to == std::string_view::npos ? std::string()
+                                        : std::string(statement.substr(from + 1, to - from - 1));
+}
+
+std::string data_in(std::string_view statement) {
+    const auto from = statement.find("'\\x");
+    const auto to = from == std::string_view::npos ? from : statement.find('\'', from + 3);
+    if (to == std::string_view::npos) return {};
+    std::string out;
+    for (auto i = from + 3; i + 1 < to; i += 2)
+        out.push_back(static_cast<char>(nibble(statement[i]) << 4 | nibble(statement[i + 1])));
+    return out;
+}
+
+std::string answer_of(std::string_view value, bool write) {
+    std::string out;
+    out.reserve(value.size() + 96);
+    sloestack::pgwire::Builder(out)
+        .row_description("data", kBytea, true)
+        .data_row(value)
+        .complete(write ? "INSERT 0 1" : "SELECT 1")
+        .ready();
+    return out;
+}
+
+}  // namespace standin
