--- a/src/app/ctl/diff.cpp
+++ b/src/app/ctl/diff.cpp
@@ -81,7 +81,11 @@
 
 // A request that only the second file has is a repeat by its client where it says so, or where its key was
 // asked before.
-std::vector<Difference> differences(const Table& before, const Table& after, std::uint64_t& same) {
+struct Counts {
+    std::uint64_t same = 0, without_answer = 0;  // the latter in the first file: nothing to compare with
+};
+
+std::vector<Difference> differences(const Table& before, const Table& after, Counts& counts) {
     std::vector<Difference> out;
     std::unordered_set<std::string> keys;
     for (const auto& [name, e] : before.exchanges)
@@ -98,10 +102,12 @@
             out.push_back({name, a.klass, "asked in other words", Cause::none});
         } else if (a.greeting && b.greeting && *a.greeting != *b.greeting) {
             out.push_back({name, a.klass, "greeted otherwise", Cause::none});
+        } else if (a.answer.kind == Kind::none) {
+            ++counts.without_answer;
         } else if (const auto verdict = conversation::compare(a.answer, b.answer); !verdict.same) {
             out.push_back({name, a.klass, verdict.what, verdict.cause});
         } else {
-            ++same;
+            ++counts.same;
         }
     }
     for (const auto& name : after.order) {
@@ -134,8 +140,9 @@
     // The addresses of the one file say nothing of the other's.
     settings.servers.clear();
     read(required(*parsed, "after"), settings, after, second);
-    std::uint64_t same = 0, unexplained = 0;
-    const auto found = differences(before, after, same);
+    Counts counts;
+    std::uint64_t unexplained = 0;
+    const auto found = differences(before, after, counts);
     std::map<std::string, std::uint64_t> causes;
     nlohmann::json named = nlohmann::json::array();
     for (const auto& d : found) {
@@ -149,13 +156,18 @@
     }
     if (parsed->count("json")) {
         std::cout
-            << nlohmann::json{{"same", same},     {"different", found.size()}, {"unexplained", unexplained},
-                              {"causes", causes}, {"differences", named},      {"before", first},
-                              {"after", second}}
+            << nlohmann::json{{"same", counts.same},       {"without_answer_before", counts.without_answer},
+                              {"different", found.size()}, {"unexplained", unexplained},
+                              {"causes", causes},          {"differences", named},
+                              {"before", first},           {"after", second}}
                    .dump(2)
             << "\n";
     } else {
-        std::printf("%llu the same, %zu different\n", static_cast<unsigned long long>(same), found.size());
+        std::printf("%llu the same, %zu different\n", static_cast<unsigned long long>(counts.same),
+                    found.size());
+        if (counts.without_answer)
+            std::printf("%llu without an answer in the first file: nothing to compare with\n",
+                        static_cast<unsigned long long>(counts.without_answer));
         for (const auto& [cause, count] : causes)
             std::printf("  %-10s %llu\n", cause == "none" ? "no cause" : cause.c_str(),
                         static_cast<unsigned long long>(count));
--- a/src/app/ctl/pcap.cpp
+++ b/src/app/ctl/pcap.cpp
@@ -162,7 +162,7 @@
 };
 
 void print(const conversation::Figures& f, const std::string& fault) {
-    const auto table = [](const char* title, const std::map<std::string, std::uint64_t>& rows) {
+    const auto table = [](const char* title, const auto& rows) {
         if (rows.empty()) return;
         std::printf("%s\n", title);
         for (const auto& [name, count] : rows)
--- a/src/record/conversation/postgres.cpp
+++ b/src/record/conversation/postgres.cpp
@@ -68,9 +68,11 @@
     void query(const pgwire::Message& m, std::string_view whole, Time at);
     void answer_part(const pgwire::Message& m);
     void hash(std::string_view bytes) {
+        if (bytes.empty()) return;
         XXH3_128bits_update(hash_.get(), bytes.data(), bytes.size());
         hashed_ += bytes.size();
     }
+    void hash_rest();
     Digest digest();
     void finish_answer(Time at, bool whole);
     void cut(Side side, const std::string& why);
@@ -92,6 +94,7 @@
     // Of the answer that is coming
     std::unique_ptr<XXH3_state_t, FreeState> hash_;
     std::uint64_t hashed_ = 0;
+    std::string_view unhashed_;  // of the answer, where it stands; good during one read()
     Kind kind_ = Kind::none;
     std::string code_;
     std::optional<Micros> advice_;
@@ -133,8 +136,10 @@
                 half.offset += size;
             }
         } catch (const pgwire::BadMessage& error) {
+            unhashed_ = {};
             return cut(from, std::string("not of the protocol: ") + error.what());
         }
+        if (from == Side::server) hash_rest();
         if (half.cut) return;
         if (gathered) {
             // What is behind a message that passes by belongs to it.
@@ -214,10 +219,14 @@
         return 0;
     }
     if (bytes.size() < *size) return 0;
-    const auto m = pgwire::next_message(bytes.substr(0, *size), longest_from_server);
-    hash(bytes.substr(0, *size));
-    answer_part(*m);
-    if (m->type == 'Z') finish_answer(at, true);
+    const pgwire::Message m{bytes[0], bytes.substr(pgwire::kHead, *size - pgwire::kHead), *size};
+    // What stands in one piece is hashed in one go, at its end.
+    if (unhashed_.empty())
+        unhashed_ = bytes.substr(0, *size);
+    else
+        unhashed_ = {unhashed_.data(), unhashed_.size() + *size};
+    answer_part(m);
+    if (m.type == 'Z') finish_answer(at, true);
     return *size;
 }
 
@@ -251,7 +260,14 @@
     }
 }
 
+void Postgres::hash_rest() {
+    hash(unhashed_);
+    unhashed_ = {};
+}
+
 Digest Postgres::digest() {
+    if (hashed_ == 0) return digest_of(std::exchange(unhashed_, {}));
+    hash_rest();
     const auto hash = XXH3_128bits_digest(hash_.get());
     const Digest out{hash.low64, hash.high64, hashed_};
     XXH3_128bits_reset(hash_.get());
@@ -269,8 +285,9 @@
         return to_.greeted(connection_, at, found);
     }
     if (open_.empty()) {
-        if (whole) throw pgwire::BadMessage("an answer that nobody asked for");
-        return;
+        if (!whole) return;
+        if (!client_.cut) throw pgwire::BadMessage("an answer that nobody asked for");
+        return cut(Side::server, "answers to requests that cannot be read");
     }
     const auto open = open_.front();
     open_.pop_front();
--- a/src/record/conversation/recording.cpp
+++ b/src/record/conversation/recording.cpp
@@ -12,9 +12,23 @@
 Recording::Recording(const std::string& path, const Language& language, const RecordingSettings& settings,
                      Listener& to)
     : reader_(path), language_(language), settings_(settings), to_(to), streams_(settings.streams, *this) {
-    memory_.most = settings.most_unfinished;
+    check_link(path);
+}
+
+Recording::Recording(std::FILE* file, const std::string& name, const Language& language,
+                     const RecordingSettings& settings, Listener& to)
+    : reader_(file, name),
+      language_(language),
+      settings_(settings),
+      to_(to),
+      streams_(settings.streams, *this) {
+    check_link(name);
+}
+
+void Recording::check_link(const std::string& name) {
+    memory_.most = settings_.most_unfinished;
     if (!pcap::knows_link(reader_.link_type()))
-        throw pcap::BadFile(path + ": its link type " + reader_.link_name() + " is not read here");
+        throw pcap::BadFile(name + ": its link type " + reader_.link_name() + " is not read here");
 }
 
 bool Recording::step() {
@@ -23,7 +37,6 @@
     if (!frame) {
         over_ = true;
         streams_.finish();
-        figures_.tcp = streams_.counters();
         return false;
     }
     ++figures_.packets;
@@ -36,12 +49,11 @@
     if (!figures_.first_us) figures_.first_us = time_us;
     latest_us_ = std::max(latest_us_, time_us);
     figures_.last_us = latest_us_;
-    const auto decoded = pcap::decode(reader_.link_type(), time_us, frame->bytes);
-    if (const auto* segment = std::get_if<pcap::Segment>(&decoded))
-        streams_.take(*segment);
+    const auto skip = pcap::decode(reader_.link_type(), time_us, frame->bytes, segment_);
+    if (skip == pcap::Skip::none)
+        streams_.take(segment_);
     else
-        ++figures_.skipped[to_text(std::get<pcap::Skip>(decoded))];
-    figures_.tcp = streams_.counters();
+        ++figures_.skipped[to_text(skip)];
     return true;
 }
 
@@ -59,7 +71,12 @@
 
 void Recording::bytes(streams::StreamId id, streams::Side from, std::string_view bytes,
                       std::int64_t time_us) {
-    if (auto& dialect = open_[id].dialect) dialect->read(side_of(from), bytes, time_us);
+    // The two sides of a stream often take turns.
+    if (id != last_id_) {
+        last_ = &open_[id];
+        last_id_ = id;
+    }
+    if (last_->dialect) last_->dialect->read(side_of(from), bytes, time_us);
 }
 
 void Recording::gap(streams::StreamId id, streams::Side from, std::uint64_t, streams::Gap why) {
@@ -71,33 +88,51 @@
     const auto found = open_.find(id);
     // Kept until it has had its last word: that names the stream.
     if (found->second.dialect) found->second.dialect->over(time_us);
+    last_id_ = 0;
+    for (const auto hash : found->second.ids) give_back(hash);
     open_.erase(found);
 }
 
 void Recording::asked(const Asked& a) {
     ++figures_.requests;
-    ++figures_.requests_by_class[a.klass.empty() ? "(none)" : std::string(a.klass)];
-    if (!a.id.empty()) {
-        const std::string id(a.id);
-        if (++open_ids_[id] > 1) ++figures_.doubled_ids;
-        ids_[{a.connection, a.number}] = id;
-    }
+    const auto klass = a.klass.empty() ? std::string_view("(none)") : a.klass;
+    if (const auto known = figures_.requests_by_class.find(klass); known != figures_.requests_by_class.end())
+        ++known->second;
+    else
+        figures_.requests_by_class.emplace(klass, 1);
+    const auto hash = a.id.empty() ? 0 : digest_of(a.id).low;
+    if (hash && ++open_ids_[hash] > 1) ++figures_.doubled_ids;
+    last_->ids.push_back(hash);
     to_.asked(a);
 }
 
+// Answers come in the order of the requests.
 void Recording::answered(const Answered& a) {
-    ++figures_.answers[to_text(a.kind)];
-    if (const auto found = ids_.find({a.connection, a.number}); found != ids_.end()) {
-        if (const auto open = open_ids_.find(found->second); open != open_ids_.end() && --open->second == 0)
-            open_ids_.erase(open);
-        ids_.erase(found);
+    ++answers_[static_cast<std::size_t>(a.kind)];
+    auto& ids = open_[a.connection].ids;
+    if (!ids.empty()) {
+        give_back(ids.front());
+        ids.pop_front();
     }
     to_.answered(a);
 }
 
+void Recording::give_back(std::uint64_t hash) {
+    const auto open = open_ids_.find(hash);
+    if (open != open_ids_.end() && --open->second == 0) open_ids_.erase(open);
+}
+
+const Figures& Recording::figures() {
+    figures_.tcp = streams_.counters();
+    for (const auto kind : {Kind::served, Kind::empty, Kind::refused, Kind::failed, Kind::none})
+        if (const auto count = answers_[static_cast<std::size_t>(kind)])
+            figures_.answers[to_text(kind)] = count;
+    return figures_;
+}
+
 void Recording::cut(const Cut& c) {
     ++figures_.cuts;
-    ++figures_.skipped["direction of a stream cut: " + c.reason.substr(0, c.reason.find(':'))];
+    ++figures_.skipped["direction of a stream cut: " + c.reason.substr(0, c.reason.find_first_of(":,"))];
     if (figures_.cut.size() < settings_.most_cuts)
         figures_.cut.push_back({open_[c.connection].name, c.side, c.offset, c.reason});
     to_.cut(c);
--- a/src/record/conversation/recording.h
+++ b/src/record/conversation/recording.h
@@ -2,6 +2,9 @@
 // bounded memory; with the figures of what was read and what was not.
 #pragma once
 
+#include <array>
+#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -34,7 +37,8 @@
     std::int64_t farthest_back_us = 0;
     std::optional<std::int64_t> first_us, last_us;
     std::uint64_t streams = 0, requests = 0;
-    std::map<std::string, std::uint64_t> requests_by_class, answers, ends, servers;
+    std::map<std::string, std::uint64_t, std::less<>> requests_by_class;
+    std::map<std::string, std::uint64_t> answers, ends, servers;
     std::map<std::string, std::uint64_t> skipped;  // packets and streams, by reason
     std::uint64_t doubled_ids = 0;                 // requests whose id was open already
     std::vector<CutStream> cut;
@@ -47,11 +51,13 @@
     // Throws pcap::BadFile.
     Recording(const std::string& path, const Language& language, const RecordingSettings& settings,
               Listener& to);
+    Recording(std::FILE* file, const std::string& name, const Language& language,
+              const RecordingSettings& settings, Listener& to);
 
     // Reads one packet and tells what it brings; false at the end, when all that is open has been told as
     // over.
     bool step();
-    const Figures& figures() const { return figures_; }
+    const Figures& figures();
     const std::string& fault() const {
         return reader_.fault();
     }  // why the file ends early; empty where it does not
@@ -59,10 +65,13 @@
     std::size_t held() const { return streams_.held() + memory_.held; }
 
 private:
+    void check_link(const std::string& name);
     struct Stream {
         std::unique_ptr<Dialect> dialect;  // none where its server is none of those wanted
         std::string name;
+        std::deque<std::uint64_t> ids;  // hashes of the open requests' ids, 0 where one has none
     };
+    void give_back(std::uint64_t hash);
     void opened(streams::StreamId id, const streams::Flow& flow, std::int64_t time_us) override;
     void bytes(streams::StreamId id, streams::Side from, std::string_view bytes,
                std::int64_t time_us) override;
@@ -83,8 +92,11 @@
     streams::Streams streams_;
     Memory memory_;
     std::unordered_map<streams::StreamId, Stream> open_;
-    std::unordered_map<std::string, int> open_ids_;
-    std::map<std::pair<ConnectionId, std::uint32_t>, std::string> ids_;  // of requests without their answers
+    streams::StreamId last_id_ = 0;
+    Stream* last_ = nullptr;  // the stream of last_id_
+    std::unordered_map<std::uint64_t, int> open_ids_;
+    std::array<std::uint64_t, 5> answers_{};  // by Kind
+    pcap::Segment segment_;
     Figures figures_;
     std::int64_t latest_us_ = 0;
     bool over_ = false;
--- a/src/record/pcap/packet.cpp
+++ b/src/record/pcap/packet.cpp
@@ -39,7 +39,7 @@
     return true;
 }
 
-std::variant<Segment, Skip> decode_tcp(Segment out, Bytes tcp, std::size_t whole) {
+Skip decode_tcp(Segment& out, Bytes tcp, std::size_t whole) {
     if (whole < 20) return Skip::malformed;
     if (tcp.size() < 20) return Skip::cut_head;
     const std::size_t head = static_cast<std::size_t>(u8(tcp, 12) >> 4) * 4;
@@ -52,10 +52,10 @@
     out.flags = u8(tcp, 13);
     out.payload = tcp.substr(head, whole - head);
     out.length = static_cast<std::uint32_t>(whole - head);
-    return out;
+    return Skip::none;
 }
 
-std::variant<Segment, Skip> decode_v4(Segment out, Bytes ip) {
+Skip decode_v4(Segment& out, Bytes ip) {
     if (ip.size() < 20) return Skip::cut_head;
     const std::size_t head = static_cast<std::size_t>(u8(ip, 0) & 0x0f) * 4;
     std::size_t total = u16(ip, 2);
@@ -71,7 +71,7 @@
     return decode_tcp(out, ip.substr(head, total - head), total - head);
 }
 
-std::variant<Segment, Skip> decode_v6(Segment out, Bytes ip) {
+Skip decode_v6(Segment& out, Bytes ip) {
     if (ip.size() < 40) return Skip::cut_head;
     std::size_t left = u16(ip, 4);
     if (left == 0) left = ip.size() - 40;
@@ -103,8 +103,8 @@
     return std::find(std::begin(known), std::end(known), link) != std::end(known);
 }
 
-std::variant<Segment, Skip> decode(int link, std::int64_t time_us, std::string_view bytes) {
-    Segment out;
+Skip decode(int link, std::int64_t time_us, std::string_view bytes, Segment& out) {
+    out = Segment();
     out.time_us = time_us;
     std::uint16_t type = 0;
     const auto head = [&](std::size_t size, std::size_t type_at) {
@@ -157,6 +157,8 @@
 
 const char* to_text(Skip why) {
     switch (why) {
+        case Skip::none:
+            return "";
         case Skip::unknown_link:
             return "link type not read here";
         case Skip::not_ip:
--- a/src/record/pcap/packet.h
+++ b/src/record/pcap/packet.h
@@ -9,7 +9,6 @@
 #include <string>
 #include <string_view>
 #include <tuple>
-#include <variant>
 
 namespace sloestack::pcap {
 
@@ -40,6 +39,7 @@
 
 // Why a packet is none of a TCP stream's.
 enum class Skip {
+    none,          // it is
     unknown_link,  // a link type that is not read here
     not_ip,        // ARP, IPv6 neighbour discovery on other ethertypes, ...
     not_tcp,
@@ -49,8 +49,9 @@
 };
 const char* to_text(Skip why);
 
+// Fills `out` where the packet is a TCP segment, and says none; what `out` holds otherwise means nothing.
 // `link` is a DLT_ number. Never reads outside `bytes`.
-std::variant<Segment, Skip> decode(int link, std::int64_t time_us, std::string_view bytes);
+Skip decode(int link, std::int64_t time_us, std::string_view bytes, Segment& out);
 // Whether packets of this link type are read at all.
 bool knows_link(int link);
 
--- a/src/record/pcap/reader.cpp
+++ b/src/record/pcap/reader.cpp
@@ -20,6 +20,17 @@
     link_type_ = pcap_datalink(impl_->file);
 }
 
+Reader::Reader(std::FILE* file, const std::string& name) : impl_(std::make_unique<Impl>()) {
+    char why[PCAP_ERRBUF_SIZE] = "";
+    impl_->file =
+        pcap_fopen_offline_with_tstamp_precision(file, PCAP_TSTAMP_PRECISION_NANO, static_cast<char*>(why));
+    if (!impl_->file) {
+        std::fclose(file);
+        throw BadFile(name + ": " + static_cast<const char*>(why));
+    }
+    link_type_ = pcap_datalink(impl_->file);
+}
+
 Reader::~Reader() = default;
 
 std::string Reader::link_name() const {
--- a/src/record/pcap/reader.h
+++ b/src/record/pcap/reader.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <cstdio>
 #include <memory>
 #include <optional>
 #include <stdexcept>
@@ -26,6 +27,8 @@
 public:
     // Throws BadFile. "-" is no file here: a capture is read from a path only.
     explicit Reader(const std::string& path);
+    // The same from a stream that is open for reading; closes it. `name` stands in messages.
+    Reader(std::FILE* file, const std::string& name);
     ~Reader();
     Reader(const Reader&) = delete;
     Reader& operator=(const Reader&) = delete;
--- a/src/record/replay/replay.cpp
+++ b/src/record/replay/replay.cpp
@@ -160,8 +160,14 @@
         if (!waiting_.empty()) {
             const auto ticket = waiting_.front();
             waiting_.pop_front();
-            of_.schedule_.ended(ticket, Fate::refused);
-            of_.skip(ticket, schedule::to_text(schedule::Skipped::lost));
+            // One that had been sent before its connection closed is a request without an answer.
+            if (const auto found = of_.requests_.find(ticket);
+                found != of_.requests_.end() && found->second.resent) {
+                of_.live_answer(ticket, {});
+            } else {
+                of_.schedule_.ended(ticket, Fate::refused, of_.deadlines_.now());
+                of_.skip(ticket, schedule::to_text(schedule::Skipped::lost));
+            }
         }
         renew_limit();
         if (finishing_ && idle()) of_.close(connection_);
@@ -397,7 +403,7 @@
     if (answer.kind == Kind::none) ++klass.none;
     request.live = std::move(answer);
     request.bytes = {};
-    schedule_.ended(ticket, fate);
+    schedule_.ended(ticket, fate, deadlines_.now());
     settle(ticket);
 }
 
--- a/src/record/replay/replay.h
+++ b/src/record/replay/replay.h
@@ -79,7 +79,7 @@
     bool over() const { return finished_; }
     const Report& report() const { return report_; }
     const schedule::Schedule& schedule() const { return schedule_; }
-    const conversation::Figures& file() const { return recording_->figures(); }
+    const conversation::Figures& file() { return recording_->figures(); }
     const std::string& file_fault() const { return recording_->fault(); }
 
 private:
--- a/src/record/schedule/schedule.cpp
+++ b/src/record/schedule/schedule.cpp
@@ -222,7 +222,6 @@
     if (lane.items.empty() && lane.unanswered == 0)
         lanes_.erase(at);
     else if (!lane.items.empty()) {
-        if (blocked(lane) && lane.items.front().due <= now) hold(lane.items.front(), Held::order);
         list(at->first, lane);
     }
     return out;
@@ -240,7 +239,7 @@
     keys_by_age_.pop_front();
 }
 
-void Schedule::ended(Ticket ticket, Fate fate) {
+void Schedule::ended(Ticket ticket, Fate fate, Time now) {
     const auto found = open_.find(ticket);
     if (found == open_.end()) return;
     const auto open = std::move(found->second);
@@ -266,6 +265,9 @@
         // One that waits for an id stays off the list until that is free.
         const auto& head = lane->second.items.front();
         if (head.held == Held::id && open_ids_.count(head.step.id)) return;
+        // Due before the answer came that it waits for: late by its client's own order, not by the player.
+        if (!lane->second.listed && !blocked(lane->second) && head.due < now)
+            hold(lane->second.items.front(), Held::order);
         list(open.connection, lane->second);
     }
 }
--- a/src/record/schedule/schedule.h
+++ b/src/record/schedule/schedule.h
@@ -102,7 +102,7 @@
     // What is due by `now`, one step a call; nothing where none is.
     std::optional<Due> take(Time now);
     // A request that take() gave has ended; its connection may ask on.
-    void ended(Ticket ticket, Fate fate);
+    void ended(Ticket ticket, Fate fate, Time now);
     // The file holds no answer to that write: it is left out of later rounds. `connection` as in the file.
     void answer_missing(ConnectionId connection, const std::string& key);
 
--- a/src/record/streams/streams.cpp
+++ b/src/record/streams/streams.cpp
@@ -116,8 +116,10 @@
     if (found == flows_.end()) {
         // The last word of a stream that is over, or of one that began before the file: no bytes are lost
         // with it.
-        if (!syn && (s.length == 0 || is_tail(key, s.time_us))) {
-            ++counters_.stray;
+        const bool tail = is_tail(key, s.time_us);
+        if (!syn && (s.length == 0 || tail)) {
+            // The last acknowledgement of a stream that has ended in order is no news.
+            if (!tail || s.length > 0) ++counters_.stray;
             return;
         }
         begin(key, s);
--- a/standin/checker.h
+++ b/standin/checker.h
@@ -39,7 +39,7 @@
     void told_drain(int member, Time at);
     void told_back(int member);
     // Clients
-    void asked(const std::string& id, int klass);
+    void asked(const std::string& id);  // once for each client that asks under it
     void answered(const std::string& id, bool served, std::uint64_t value);
 
     // Sentences, one a broken rule; none where all were kept. Only after the run: a request without an answer
@@ -53,7 +53,7 @@
 
     Rules rules_;
     struct Client {
-        int klass = 0, answers = 0;
+        int asked = 0, answers = 0;
     };
     std::unordered_map<std::string, Client> clients_;
     std::unordered_map<std::string, std::vector<std::uint64_t>> values_;  // by id, as members made them
--- /dev/null
+++ b/tests/record/conversation_test.cpp
@@ -0,0 +1,249 @@
+// Requests and answers out of byte streams: split anywhere, cut anywhere, of any bytes.
+#include "conversation/conversation.h"
+
+#include <gtest/gtest.h>
+
+#include "pgwire/build.h"
+#include "standin/values.h"
+
+namespace {
+
+using namespace sloestack::conversation;
+namespace pgwire = sloestack::pgwire;
+
+struct Heard final : Listener {
+    std::vector<std::string> log;
+    std::vector<Digest> digests;
+    void opened(const Opened& o) override { log.push_back("opened " + std::to_string(o.bytes.size())); }
+    void greeted(ConnectionId, Time, const Digest&) override { log.push_back("greeted"); }
+    void asked(const Asked& a) override {
+        log.push_back("asked " + std::to_string(a.number) + " " + std::string(a.id) + " " +
+                      std::string(a.klass) + " " + std::string(a.key) + " " + std::to_string(a.left) +
+                      (a.ahead ? " ahead" : "") + (a.repeat ? " repeat" : ""));
+    }
+    void answered(const Answered& a) override {
+        log.push_back("answered " + std::to_string(a.number) + " " + to_text(a.kind) + " " + a.code +
+                      (a.advice ? " " + std::to_string(*a.advice) : ""));
+        digests.push_back(a.digest);
+    }
+    void cut(const Cut& c) override {
+        log.push_back(std::string("cut ") + (c.side == Side::client ? "client " : "server ") +
+                      std::to_string(c.offset) + " " + c.reason);
+    }
+};
+
+std::string startup() {
+    std::string out;
+    pgwire::Builder(out).startup("portal", "crm");
+    return out;
+}
+std::string greeting() {
+    std::string out;
+    pgwire::Builder(out).greeting();
+    return out;
+}
+std::string query(const std::string& statement) {
+    std::string out;
+    pgwire::Builder(out).query(statement);
+    return out;
+}
+const std::string kRead =
+    query("SELECT data FROM facts WHERE code = 'a' /* id=1,c=roster-view,d=600,cluster=0 */");
+const std::string kWrite = query(
+    "INSERT INTO facts (code, data) VALUES ('a', '\\x00') RETURNING data /* "
+    "id=2,c=shift-change,d=5000,k=kk,cluster=1,r=1 */");
+
+std::string refusal() {
+    std::string out;
+    pgwire::Builder(out).error("ERROR", "53300", "not now", 40).ready();
+    return out;
+}
+
+struct Talk {
+    Memory memory;
+    Heard heard;
+    std::unique_ptr<Dialect> dialect = postgres().begin(1, memory, heard);
+    void say(Side from, const std::string& bytes, std::size_t step = std::string::npos) {
+        for (std::size_t at = 0; at < bytes.size(); at += step) {
+            dialect->read(from, std::string_view(bytes).substr(at, step), 7);
+            if (step == std::string::npos) break;
+        }
+    }
+};
+
+const std::vector<std::string> kWhole = {"opened " + std::to_string(startup().size()),
+                                         "greeted",
+                                         "asked 0 1 roster-view  600000",
+                                         "answered 0 served ",
+                                         "asked 1 2 shift-change kk 5000000 repeat",
+                                         "answered 1 refused 53300 40000"};
+
+TEST(Conversation, IsTheSameHoweverItsBytesAreSplit) {
+    const auto answer = standin::answer_of("value", false);
+    for (const std::size_t step :
+         {std::size_t{1}, std::size_t{2}, std::size_t{3}, std::size_t{7}, std::string::npos}) {
+        Talk t;
+        t.say(Side::client, startup(), step);
+        t.say(Side::server, greeting(), step);
+        t.say(Side::client, kRead, step);
+        t.say(Side::server, answer, step);
+        t.say(Side::client, kWrite, step);
+        t.say(Side::server, refusal(), step);
+        EXPECT_EQ(t.heard.log, kWhole) << "step " << step;
+        EXPECT_EQ(t.heard.digests[0], digest_of(answer)) << "step " << step;
+        EXPECT_EQ(t.memory.held, 0u);
+    }
+}
+
+TEST(Conversation, ALargeValuePassesWithoutBeingHeld) {
+    const auto answer = standin::answer_of(std::string(3'000'000, 'v'), false);
+    for (const std::size_t step : {std::size_t{1000}, std::size_t{1460}, std::size_t{200'000}}) {
+        Talk t;
+        t.say(Side::client, startup() + kRead);
+        t.say(Side::server, greeting());
+        std::size_t most = 0;
+        for (std::size_t at = 0; at < answer.size(); at += step) {
+            t.dialect->read(Side::server, std::string_view(answer).substr(at, step), 7);
+            most = std::max(most, t.memory.held);
+        }
+        ASSERT_EQ(t.heard.digests.size(), 1u);
+        EXPECT_EQ(t.heard.digests[0], digest_of(answer));
+        EXPECT_LT(most, 80'000u);
+    }
+}
+
+// At every byte of the exchange the client's stream ends: before the request's last byte nothing is asked,
+// and the reason names where the end fell.
+TEST(Conversation, ACutAtAnyByteOfARequestIsNamed) {
+    const auto all = startup() + kRead;
+    for (std::size_t n = startup().size(); n < all.size(); ++n) {
+        Talk t;
+        t.say(Side::client, all.substr(0, n));
+        t.dialect->over(9);
+        const auto inside = n - startup().size();
+        const std::string place = " " + std::to_string(startup().size()) + " ";
+        const auto& log = t.heard.log;
+        if (inside == 0) {
+            EXPECT_EQ(log.size(), 1u);
+            continue;
+        }
+        EXPECT_EQ(log.back(), "cut client" + place +
+                                  (inside < 5 ? "inside a length word" : "inside a message") +
+                                  ": the stream ends");
+    }
+}
+
+TEST(Conversation, ACutAtAnyByteOfAnAnswerLeavesItWithoutOne) {
+    const auto answer = standin::answer_of("value", false);
+    for (std::size_t n = 0; n < answer.size(); ++n) {
+        Talk t;
+        t.say(Side::client, startup() + kRead);
+        t.say(Side::server, greeting() + answer.substr(0, n));
+        t.dialect->over(9);
+        EXPECT_EQ(t.heard.log.back(), "answered 0 none ") << n;
+    }
+    // A last word needs no ReadyForQuery: a fatal error tells what became of the request.
+    Talk t;
+    t.say(Side::client, startup() + kRead);
+    std::string fatal;
+    pgwire::Builder(fatal).error("FATAL", "57P01", "stopping");
+    t.say(Side::server, greeting() + fatal);
+    t.dialect->over(9);
+    EXPECT_EQ(t.heard.log.back(), "answered 0 failed 57P01");
+}
+
+TEST(Conversation, EncryptionDeclinedPipelinesAndLivenessChecks) {
+    Talk t;
+    t.say(Side::client, std::string("\0\0\0\x08\x04\xd2\x16\x2f", 8));
+    t.say(Side::server, "N");
+    t.say(Side::client, startup() + kRead + query("") + kWrite);
+    std::string rest;
+    pgwire::Builder(rest).empty_query().ready();
+    t.say(Side::server, greeting() + standin::answer_of("x", false) + rest + refusal());
+    const std::vector<std::string> wanted = {"opened " + std::to_string(startup().size()),
+                                             "asked 0 1 roster-view  600000 ahead",
+                                             "asked 1    0 ahead",
+                                             "asked 2 2 shift-change kk 5000000 ahead repeat",
+                                             "greeted",
+                                             "answered 0 served ",
+                                             "answered 1 empty ",
+                                             "answered 2 refused 53300 40000"};
+    EXPECT_EQ(t.heard.log, wanted);
+}
+
+TEST(Conversation, WhatIsNoProtocolEndsThatDirection) {
+    Talk t;
+    t.say(Side::client, "GET / HTTP/1.1\r\n\r\n");
+    ASSERT_EQ(t.heard.log.size(), 1u);
+    EXPECT_EQ(t.heard.log[0].substr(0, 35), "cut client 0 not of the protocol: a");
+    Talk u;
+    u.say(Side::client, startup() + std::string("P\0\0\0\x04", 5));
+    EXPECT_EQ(u.heard.log.back().substr(0, 10), "cut client");
+    // An answer beyond any bound is cut at its head, not waited for.
+    Talk v;
+    v.say(Side::client, startup() + kRead);
+    v.say(Side::server, greeting() + std::string("D\x7f\xff\xff\xff", 5));
+    EXPECT_EQ(v.heard.log.back().substr(0, 10), "cut server");
+}
+
+TEST(Conversation, WhatIsHeldIsBounded) {
+    Talk t;
+    t.memory.most = 100;
+    t.say(Side::client, startup());
+    t.say(Side::client, query(std::string(5000, 'x')), 10);
+    EXPECT_EQ(t.heard.log.back(),
+              "cut client " + std::to_string(startup().size()) + " more is not whole yet than may be held");
+    EXPECT_EQ(t.memory.held, 0u);
+}
+
+TEST(Conversation, AnyBytesEndInNothingWorseThanACut) {
+    standin::Random random(5);
+    const std::string good[] = {startup(), greeting(), kRead, kWrite, standin::answer_of("v", true),
+                                refusal()};
+    for (int i = 0; i < 3000; ++i) {
+        Talk t;
+        for (int part = 0; part < 6; ++part) {
+            auto bytes = good[random.next() % 6];
+            for (int k = 0; k < 2; ++k)
+                bytes[random.next() % bytes.size()] = static_cast<char>(random.next());
+            if (random.next() % 2) bytes.resize(random.next() % (bytes.size() + 1));
+            t.say(random.next() % 2 ? Side::client : Side::server, bytes,
+                  static_cast<std::size_t>(random.between(1, 40)));
+        }
+        t.dialect->lost(Side::client, 9, "a hole");
+        t.dialect->over(9);
+        EXPECT_EQ(t.memory.held, 0u);
+        EXPECT_EQ(t.dialect->unanswered(), 0u);
+    }
+}
+
+TEST(Conversation, RenamesIdAndKeyAndNothingElse) {
+    const auto renamed = postgres().renamed(kWrite, "fresh-id", "fresh-key");
+    auto wanted = kWrite;
+    wanted.replace(wanted.find("id=2"), 4, "id=fresh-id");
+    wanted.replace(wanted.find("k=kk"), 4, "k=fresh-key");
+    wanted[3] = static_cast<char>((wanted.size() - 1) >> 8);
+    wanted[4] = static_cast<char>(wanted.size() - 1);
+    EXPECT_EQ(renamed, wanted);
+    EXPECT_THROW(postgres().renamed("no message", "a", "b"), std::invalid_argument);
+    EXPECT_THROW(postgres().renamed(query("SELECT 1"), "a", "b"), std::invalid_argument);
+}
+
+TEST(Verdict, OnlyWhatAProxyDecidedHasACause) {
+    const auto of = [](Kind kind, std::uint64_t low, std::string code = {}) {
+        Answered a;
+        a.kind = kind;
+        a.digest = {low, 0, 5};
+        a.code = std::move(code);
+        return a;
+    };
+    EXPECT_TRUE(compare(of(Kind::served, 1), of(Kind::served, 1)).same);
+    EXPECT_EQ(compare(of(Kind::served, 1), of(Kind::served, 2)).cause, Cause::none);
+    EXPECT_FALSE(compare(of(Kind::served, 1), of(Kind::served, 2)).same);
+    EXPECT_EQ(compare(of(Kind::served, 1), of(Kind::refused, 2, "53300")).cause, Cause::refused);
+    EXPECT_EQ(compare(of(Kind::failed, 1, "58000"), of(Kind::served, 2)).cause, Cause::failed);
+    EXPECT_EQ(compare(of(Kind::served, 1), of(Kind::none, 0)).cause, Cause::none);
+    EXPECT_FALSE(compare(of(Kind::served, 1), of(Kind::none, 0)).same);
+}
+
+}  // namespace
--- /dev/null
+++ b/tests/record/packet_test.cpp
@@ -0,0 +1,146 @@
+// The packet decoder against libtins, link types, and every way in which a packet can be too short.
+#include <gtest/gtest.h>
+#include <tins/dot1q.h>
+#include <tins/ethernetII.h>
+#include <tins/ip.h>
+#include <tins/ipv6.h>
+#include <tins/rawpdu.h>
+#include <tins/tcp.h>
+
+#include "pcap/file.h"
+#include "standin/values.h"
+
+namespace {
+
+using namespace sloestack::pcap;
+
+Segment sample(bool v6, std::uint16_t vlan, std::string_view payload) {
+    Segment s;
+    s.from.v6 = s.to.v6 = v6;
+    s.from.address = {10, 1, 2, 3};
+    s.to.address = {10, 1, 2, 4};
+    if (v6) s.from.address[15] = 9;
+    s.from.port = 40001;
+    s.to.port = 5433;
+    s.seq = 0xfffffff0;
+    s.ack = 77;
+    s.flags = flag::ack | flag::psh;
+    s.vlan = vlan;
+    s.payload = payload;
+    s.length = static_cast<std::uint32_t>(payload.size());
+    return s;
+}
+
+Skip decoded(int link, const std::string& bytes, Segment& out) { return decode(link, 5, bytes, out); }
+
+TEST(Packet, WhatIsBuiltIsReadAsItWas) {
+    for (const bool v6 : {false, true})
+        for (const std::uint16_t vlan : {0, 10, 4095}) {
+            const auto s = sample(v6, vlan, "some bytes");
+            Segment out;
+            const auto bytes = build(s);
+            ASSERT_EQ(decoded(1, bytes, out), Skip::none);
+            EXPECT_EQ(out.from, s.from);
+            EXPECT_EQ(out.to, s.to);
+            EXPECT_EQ(out.seq, s.seq);
+            EXPECT_EQ(out.ack, s.ack);
+            EXPECT_EQ(out.flags, s.flags);
+            EXPECT_EQ(out.vlan, vlan);
+            EXPECT_EQ(out.payload, "some bytes");
+            EXPECT_EQ(out.length, 10u);
+        }
+}
+
+// libtins is the second opinion: a few thousand packets of many forms.
+TEST(Packet, AgreesWithLibtins) {
+    standin::Random random(11);
+    for (int i = 0; i < 3000; ++i) {
+        std::string payload(static_cast<std::size_t>(random.between(0, 200)), '\0');
+        for (auto& c : payload) c = static_cast<char>(random.next());
+        auto s = sample(random.next() % 2, static_cast<std::uint16_t>(random.between(0, 4095)), payload);
+        s.seq = static_cast<std::uint32_t>(random.next());
+        s.flags = static_cast<std::uint8_t>(random.between(0, 31));
+        const auto bytes = build(s);
+        const Tins::EthernetII theirs(reinterpret_cast<const std::uint8_t*>(bytes.data()),
+                                      static_cast<std::uint32_t>(bytes.size()));
+        Segment ours;
+        ASSERT_EQ(decoded(1, bytes, ours), Skip::none);
+        const auto& tcp = theirs.rfind_pdu<Tins::TCP>();
+        EXPECT_EQ(ours.seq, tcp.seq());
+        EXPECT_EQ(ours.ack, tcp.ack_seq());
+        EXPECT_EQ(ours.flags, static_cast<std::uint8_t>(tcp.flags()));
+        EXPECT_EQ(ours.from.port, tcp.sport());
+        const auto* raw = tcp.inner_pdu() ? tcp.find_pdu<Tins::RawPDU>() : nullptr;
+        EXPECT_EQ(ours.payload.size(), raw ? raw->payload_size() : 0u);
+        if (const auto* ip = theirs.find_pdu<Tins::IP>()) {
+            EXPECT_EQ(to_text(ours.from), ip->src_addr().to_string() + ":" + std::to_string(tcp.sport()));
+        }
+    }
+}
+
+// Every prefix of a packet is cut or, from the end of the headers on, a segment with less payload than it
+// had.
+TEST(Packet, EveryPrefixIsToldApart) {
+    for (const bool v6 : {false, true}) {
+        const auto bytes = build(sample(v6, 10, "0123456789"));
+        const std::size_t heads = bytes.size() - 10;
+        for (std::size_t n = 0; n < bytes.size(); ++n) {
+            Segment out;
+            const auto part = bytes.substr(0, n);
+            const auto got = decoded(1, part, out);
+            if (n < heads) {
+                EXPECT_EQ(got, Skip::cut_head) << n;
+                continue;
+            }
+            ASSERT_EQ(got, Skip::none) << n;
+            EXPECT_EQ(out.payload.size(), n - heads);
+            EXPECT_EQ(out.length, 10u);
+        }
+    }
+}
+
+TEST(Packet, LinkTypesLeadToTheSameSegment) {
+    const auto frame = build(sample(false, 0, "abc"));
+    const auto ip = frame.substr(14);
+    const std::pair<int, std::string> forms[] = {
+        {0, std::string("\x02\0\0\0", 4) + ip},
+        {108, std::string("\0\0\0\x02", 4) + ip},
+        {12, ip},
+        {101, ip},
+        {228, ip},
+        {113, std::string(14, '\0') + "\x08" + std::string(1, '\0') + ip},
+        {276, "\x08" + std::string(19, '\0') + ip},
+    };
+    for (const auto& [link, bytes] : forms) {
+        Segment out;
+        ASSERT_EQ(decoded(link, bytes, out), Skip::none) << link;
+        EXPECT_EQ(out.payload, "abc");
+        EXPECT_TRUE(knows_link(link));
+    }
+    Segment out;
+    EXPECT_EQ(decoded(105, frame, out), Skip::unknown_link);
+    EXPECT_FALSE(knows_link(105));
+}
+
+TEST(Packet, OtherThingsAreNamed) {
+    Segment out;
+    auto frame = build(sample(false, 0, "abc"));
+    auto arp = frame;
+    arp[13] = 6;
+    EXPECT_EQ(decoded(1, arp, out), Skip::not_ip);
+    auto udp = frame;
+    udp[14 + 9] = 17;
+    EXPECT_EQ(decoded(1, udp, out), Skip::not_tcp);
+    auto fragment = frame;
+    fragment[14 + 6] = 0x20;
+    EXPECT_EQ(decoded(1, fragment, out), Skip::fragment);
+    auto lies = frame;
+    lies[14 + 20 + 12] = static_cast<char>(0xf0);  // a TCP header longer than the packet
+    EXPECT_EQ(decoded(1, lies, out), Skip::malformed);
+    // Padding behind the datagram is none of the stream's.
+    const auto padded = frame + std::string(20, 'x');
+    ASSERT_EQ(decoded(1, padded, out), Skip::none);
+    EXPECT_EQ(out.payload, "abc");
+}
+
+}  // namespace
