--- /dev/null
+++ b/bench/pcap.sh
@@ -0,0 +1,54 @@
+#!/usr/bin/env bash
+# Measures recorded traffic, on an otherwise idle machine: reading against libpcap's bare read, memory against the size
+# of the file, and how late sends leave at three rates. About six minutes and 1.1 GB of disk under the folder named.
+#   bench/pcap.sh [FOLDER]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+folder=$(mktemp -d "${1:-/tmp}/sloestack-bench-XXXXXX")
+rig=
+trap '[ -z "$rig" ] || kill "$rig" 2>/dev/null; rm -rf "$folder"' EXIT
+cmake -S . -B build-bench -DCMAKE_BUILD_TYPE=Release -DSLOESTACK_BENCH=ON >/dev/null
+cmake --build build-bench -j"$(nproc)" >/dev/null
+ctl=build-bench/sloestackctl
+
+echo "== reading, stages interleaved at random, five repetitions"
+$ctl pcap make --minutes 5 --rate 2000 --clients 200 -o "$folder/read.pcap"
+build-bench/pcap_read --benchmark_enable_random_interleaving=true --benchmark_repetitions=5 \
+    --benchmark_report_aggregates_only=true "$folder/read.pcap" 2>/dev/null | grep -E "median|resident"
+rm "$folder/read.pcap"
+
+echo "== memory: largest resident size of info over the size of the file"
+for minutes in 1.6 6.4 13; do
+    $ctl pcap make --minutes $minutes --rate 2000 --clients 2000 -o "$folder/size.pcap" >/dev/null
+    python3 - "$ctl" "$folder/size.pcap" <<'P'
+import os, resource, subprocess, sys
+subprocess.run([sys.argv[1], "pcap", "info", sys.argv[2], "--json"], stdout=subprocess.DEVNULL)
+print(f"{os.path.getsize(sys.argv[2]) / 2**20:8.0f} MiB file: {resource.getrusage(resource.RUSAGE_CHILDREN).ru_maxrss / 1024:6.1f} MiB")
+P
+    rm "$folder/size.pcap"
+done
+
+echo "== how late sends leave, microseconds: what neither order nor a limit held; three runs each, in turn; through the"
+echo "== proxy, and straight to a member, which keeps up with all three rates (its answers have more parameters)"
+$ctl demo --seconds 0.5 --rate 50 --stay --work 0:0 --banks 4 --members 3 >"$folder/rig" &
+rig=$!
+until grep -q psql "$folder/rig"; do sleep 0.1; done
+proxy=$(sed -n 's/.*a proxy at \([0-9.:]*\) .*/\1/p' "$folder/rig")
+member=$(sed -n 's/.*first member is at \([0-9.:]*\),.*/\1/p' "$folder/rig")
+for rate in 200 2000 20000; do
+    $ctl pcap make --minutes 0.17 --rate $rate --clients $((rate / 10)) --groups 4 -o "$folder/late-$rate.pcap" >/dev/null
+done
+for run in 1 2 3; do
+    for rate in 200 2000 20000; do
+        for to in proxy=$proxy member=$member; do
+            $ctl pcap replay "$folder/late-$rate.pcap" --to "${to#*=}" --json >"$folder/report" || true
+            python3 - "$folder/report" $rate "$run" "${to%%=*}" <<'P'
+import json, resource, sys
+r = json.load(open(sys.argv[1]))
+own, all_ = r["own_late_us"], r["late_us"]
+print(f"{sys.argv[4]:>7} {sys.argv[2]:>6}/s run {sys.argv[3]}: p50 {own['p50']:>6} p99 {own['p99']:>7} of {own['count']:>6};"
+      f" with held ones p99 {all_['p99']:>7}; sent {r['sent']}, causes {r['causes']}")
+P
+        done
+    done
+done
--- a/src/app/ctl/rehearse.cpp
+++ b/src/app/ctl/rehearse.cpp
@@ -175,6 +175,8 @@
         for (const auto& b : broken) std::printf("rule broken: %s\n", b.c_str());
         if (broken.empty()) std::printf("no rule was broken\n");
         const auto colon = address.rfind(':');
+        std::printf("the first bank's first member is at %s, discovery at %s\n",
+                    rig.fleet().member(0).c_str(), rig.fleet().discovery().c_str());
         std::printf("to look at it by hand, with --stay: psql -h %s -p %s -U portal crm\n",
                     address.substr(0, colon).c_str(), address.substr(colon + 1).c_str());
         std::printf("  SELECT data FROM facts WHERE code = 'x' /* id=1,c=hours-report,d=750,cluster=0 */;\n");
--- a/src/record/replay/replay.h
+++ b/src/record/replay/replay.h
@@ -114,7 +114,7 @@
     std::uint64_t opened_live_ = 0;
     std::size_t ahead_ = 0;
     std::unordered_map<std::uint64_t, std::string> openings_;  // by connection of the run, until it opens
-    std::map<Ticket, Request> requests_;
+    std::unordered_map<Ticket, Request> requests_;
     std::unordered_map<std::uint64_t, std::unique_ptr<Live>> live_;
     std::uint64_t last_ticket_ = 0;
     Deadline wake_;
--- a/src/record/schedule/schedule.cpp
+++ b/src/record/schedule/schedule.cpp
@@ -193,7 +193,7 @@
     return std::nullopt;
 }
 
-Due Schedule::give(std::map<ConnectionId, Lane>::iterator at, Time now, Skipped skipped) {
+Due Schedule::give(Lanes::iterator at, Time now, Skipped skipped) {
     auto& lane = at->second;
     unlist(at->first, lane);
     auto item = std::move(lane.items.front());
--- a/src/record/schedule/schedule.h
+++ b/src/record/schedule/schedule.h
@@ -128,6 +128,7 @@
         std::size_t unanswered = 0;
         bool listed = false;  // in heads_
     };
+    using Lanes = std::unordered_map<ConnectionId, Lane>;
     using Head = std::pair<Time, ConnectionId>;
     struct Open {
         ConnectionId connection = 0;
@@ -139,7 +140,7 @@
     void list(ConnectionId connection, Lane& lane);
     void unlist(ConnectionId connection, Lane& lane);
     bool blocked(const Lane& lane) const;
-    Due give(std::map<ConnectionId, Lane>::iterator lane, Time now, Skipped skipped);
+    Due give(Lanes::iterator lane, Time now, Skipped skipped);
     void hold(Item& item, Held why);
     Skipped judge(const Item& item, Time now) const;
     void remember(const std::string& key);
@@ -154,7 +155,7 @@
     Time round_start_ = 0, latest_due_ = 0;
     int round_ = 0;
     bool finished_ = false;
-    std::map<ConnectionId, Lane> lanes_;
+    Lanes lanes_;
     std::set<Head> heads_;  // lanes whose first step waits for nothing but its time
     std::unordered_map<std::string, std::list<ConnectionId>> waits_for_id_;
     std::unordered_map<Ticket, Open> open_;
--- a/standin/fleet.cpp
+++ b/standin/fleet.cpp
@@ -237,6 +237,9 @@
 Fleet::~Fleet() = default;
 
 int Fleet::number_of(const Member& m) const { return m.bank * settings_.members + m.index; }
+std::string Fleet::member(int number) const {
+    return "127.0.0.1:" + std::to_string(members_.at(static_cast<std::size_t>(number))->port);
+}
 std::string Fleet::discovery() const { return "127.0.0.1:" + std::to_string(discovery_->port()); }
 
 std::string Fleet::list(bool complete, std::int64_t after) const {
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -43,7 +43,8 @@
     Fleet(const Fleet&) = delete;
     Fleet& operator=(const Fleet&) = delete;
 
-    std::string discovery() const;                              // its address
+    std::string member(int number) const;  // an address, numbered through all banks from 0
+    std::string discovery() const;         // its address
     std::string list(bool complete, std::int64_t after) const;  // as discovery would tell it
     std::int64_t revision() const { return revision_; }
     std::uint64_t attempts() const { return attempts_; }
