--- a/tests/record/packet_test.cpp
+++ b/tests/record/packet_test.cpp
@@ -139,7 +139,9 @@
             const auto ip = std::string_view(frame).substr(14);
             const std::size_t head = v6 ? 40 : 20;
             const auto tcp = ip.substr(head, 20 + size);
-            if (!v6) EXPECT_EQ(sum(ip.substr(0, 20)), 0xffffu);
+            if (!v6) {
+                EXPECT_EQ(sum(ip.substr(0, 20)), 0xffffu);
+            }
             const auto addresses = v6 ? ip.substr(8, 32) : ip.substr(12, 8);
             EXPECT_EQ(sum(tcp, sum(addresses) + 6 + static_cast<std::uint32_t>(tcp.size())), 0xffffu)
                 << v6 << size;
