--- a/fuzz/corpus.cpp
+++ b/fuzz/corpus.cpp
@@ -12,13 +12,16 @@
 #include "standin/make.h"
 #include "standin/values.h"
 #include "targets.h"
+#include "tds/login.h"
+#include "tds/request.h"
+#include "tds/token.h"
 
 namespace {
 
 using namespace sloestack;
 using Corpus = std::vector<std::string>;
 
-constexpr int kMutations = 40;  // of each entry
+constexpr std::size_t kPlayed = 4000;  // inputs a target, its corpus and mutations of it
 
 Corpus captures() {
     Corpus out;
@@ -93,6 +96,37 @@
     return out;
 }
 
+Corpus tds_sessions() {
+    const auto as = [](tds::Type type, const std::string& payload, std::size_t packet = 512) {
+        std::string out;
+        tds::PacketWriter writer(out);
+        writer.allow(packet);
+        writer.message(type, payload);
+        return out;
+    };
+    tds::Login login;
+    login.user = "portal";
+    login.password = "x";
+    login.features[1] = "f";
+    std::string answer;
+    tds::Column number, data;
+    number.type.id = tds::TypeId::intn;
+    number.type.size = 4;
+    data.type.id = tds::TypeId::varbinary;
+    data.type.size = tds::kMaxLength;
+    data.type.max = true;
+    tds::TokenBuilder build(answer);
+    build.acknowledged({tds::kVersion74, "s", 1}).changed({tds::Change::packet_size, "512", "4096"});
+    build.columns({number, data}).row();
+    tds::put_value(answer, number.type, std::string_view("1234"));
+    tds::put_chunks(answer, std::string(3000, 'v'));
+    build.row_with_nulls({true, true}).error({50001, 1, 16, "not now", "", "", 1}).done({});
+    return {as(tds::Type::prelogin, tds::build_prelogin({})) + as(tds::Type::login, tds::build_login(login)),
+            as(tds::Type::batch, tds::build_batch("SELECT 1 /* id=1 */")) + as(tds::Type::attention, ""),
+            as(tds::Type::rpc, tds::build_rpc({std::string(5000, 's'), 0, {}})),
+            as(tds::Type::result, answer)};
+}
+
 std::string mutated(std::string bytes, standin::Random& random) {
     for (auto n = random.between(1, 8); n > 0 && !bytes.empty(); --n) {
         const auto at = random.next() % bytes.size();
@@ -123,7 +157,8 @@
     };
     const Target targets[] = {{"capture", fuzz::capture, captures()},
                               {"segments", fuzz::segments, segment_lists()},
-                              {"conversation", fuzz::conversation, talks()}};
+                              {"conversation", fuzz::conversation, talks()},
+                              {"tds_messages", fuzz::tds_messages, tds_sessions()}};
     standin::Random random(1);
     std::size_t played = 0;
     for (const auto& t : targets) {
@@ -135,7 +170,7 @@
                 std::ofstream(folder / std::to_string(number++), std::ios::binary) << entry;
                 continue;
             }
-            for (int i = 0; i <= kMutations; ++i) {
+            for (std::size_t i = 0; i <= kPlayed / t.corpus.size(); ++i) {
                 const auto bytes = i == 0 ? entry : mutated(entry, random);
                 t.play(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
                 ++played;
--- a/fuzz/targets.cpp
+++ b/fuzz/targets.cpp
@@ -5,6 +5,9 @@
 #include <string>
 
 #include "conversation/recording.h"
+#include "tds/login.h"
+#include "tds/request.h"
+#include "tds/token.h"
 
 namespace sloestack::fuzz {
 namespace {
@@ -108,4 +111,58 @@
     must(memory.held == 0 && dialect->unanswered() == 0);
 }
 
+namespace {
+
+// Holds the reader to what it promises: values in the order of the columns, pieces only inside a value.
+struct Tokens final : tds::TokenEvents {
+    std::size_t columns_now = 0, next = 0;
+    bool in_value = false;
+    void columns(const std::vector<tds::Column>& c) override { columns_now = next = c.size(); }
+    void row() override {
+        must(next == columns_now);
+        next = 0;
+    }
+    void value(std::size_t c, std::optional<std::string_view>) override { must(!in_value && c == next++); }
+    void value_begins(std::size_t c, std::optional<std::uint64_t>) override {
+        must(!in_value && c == next++);
+        in_value = true;
+    }
+    void piece(std::string_view b) override { must(in_value && !b.empty()); }
+    void value_ends() override {
+        must(in_value);
+        in_value = false;
+    }
+    void error(const tds::Notice&) override {}
+    void done(const tds::Done&) override { must(!in_value); }
+};
+
+}  // namespace
+
+// Packets as they come; whole messages of a client are read by their type, a server's as they come.
+void tds_messages(const std::uint8_t* data, std::size_t size) {
+    std::string_view left(reinterpret_cast<const char*>(data), size);
+    tds::Packets packets;
+    Tokens tokens;
+    tds::TokenReader reader(tokens);
+    std::string message;
+    try {
+        while (const auto part = packets.next(left)) {
+            left.remove_prefix(part->size);
+            if (part->type == tds::Type::result) {
+                reader.read(part->bytes);
+                must(reader.held() <= tds::kMostHeld);
+                continue;
+            }
+            message.append(part->bytes);
+            if (!part->last) continue;
+            if (part->type == tds::Type::prelogin) tds::read_prelogin(message);
+            if (part->type == tds::Type::login) tds::read_login(message);
+            if (part->type == tds::Type::batch) tds::read_batch(message);
+            if (part->type == tds::Type::rpc) tds::read_rpc(message);
+            message.clear();
+        }
+    } catch (const tds::BadMessage&) {
+    }
+}
+
 }  // namespace sloestack::fuzz
--- a/src/record/replay/replay.cpp
+++ b/src/record/replay/replay.cpp
@@ -52,7 +52,7 @@
         retry_.clear();
         number_ = ++of_.opened_live_;
         broken_ = false;
-        up_ = served_ = heard_ = false;
+        up_ = heard_ = false;
         dialect_ = of_.language_.begin(number_, of_.memory_, *this);
         link_ = net::Connection::open(of_.loop_, of_.settings_.to, kMostUnread, *this);
         if (!link_) again();
@@ -95,6 +95,7 @@
 private:
     void greeted(conversation::ConnectionId, Time, const conversation::Digest&) override {
         backoff_.reset();
+        heard_ = false;
         flush();
     }
     void asked(const conversation::Asked&) override {}
@@ -103,7 +104,6 @@
         const auto ticket = sent_.front();
         sent_.pop_front();
         heard_ = false;
-        served_ = true;
         if (std::exchange(send_again_, false) && a.kind == Kind::none) {
             of_.requests_.at(ticket).resent = true;
             ++of_.report_.resent;
@@ -192,7 +192,7 @@
         end(by, reset);
         ++of_.report_.broken;
         limit_.clear();
-        if (served_ && !heard_ && sent_.size() == 1) {
+        if (was_up && !heard_ && sent_.size() == 1) {
             const auto found = of_.requests_.find(sent_.front());
             send_again_ = found != of_.requests_.end() && found->second.key.empty() && !found->second.resent;
         }
@@ -227,8 +227,7 @@
     schedule::Backoff backoff_;
     Deadline limit_, retry_;
     bool up_ = false, broken_ = true, finishing_ = false;
-    bool served_ = false,
-         heard_ = false;  // it has answered on this connection; part of an answer has come since
+    bool heard_ = false;  // part of an answer has come that is not whole
     bool send_again_ = false;
 
     friend class Replay;
