Read, make and replay recordings of TDS as a second dialect

Need: the recorder of conversations is to know TDS beside PostgreSQL, with no word of either behind its interface.

--- a/src/app/ctl/diff.cpp
+++ b/src/app/ctl/diff.cpp
@@ -71,9 +71,9 @@
     Cause cause = Cause::none;
 };
 
-void read(const std::string& path, const conversation::RecordingSettings& settings, Table& table,
-          nlohmann::json& figures) {
-    conversation::Recording recording(path, conversation::postgres(), settings, table);
+void read(const std::string& path, const conversation::Language& language,
+          const conversation::RecordingSettings& settings, Table& table, nlohmann::json& figures) {
+    conversation::Recording recording(path, language, settings, table);
     while (recording.step()) {
     }
     figures = to_json(recording.figures(), recording.fault());
@@ -130,16 +130,18 @@
         "where a difference has no decision of a proxy as its cause.");
     options.add_options()("json", "report as JSON")("server", "only streams to these, separated by commas",
                                                     cxxopts::value<std::string>())(
-        "vlans-apart", "equal addresses on two VLANs are two streams");
+        "vlans-apart", "equal addresses on two VLANs are two streams")(
+        "dialect", "postgres or tds", cxxopts::value<std::string>()->default_value("postgres"));
     const auto parsed = parse(options, arguments, {"before", "after"});
     if (!parsed) return kGood;
     auto settings = recording_settings(*parsed);
     Table before, after;
     nlohmann::json first, second;
-    read(required(*parsed, "before"), settings, before, first);
+    const auto& language = conversation::language((*parsed)["dialect"].as<std::string>());
+    read(required(*parsed, "before"), language, settings, before, first);
     // The addresses of the one file say nothing of the other's.
     settings.servers.clear();
-    read(required(*parsed, "after"), settings, after, second);
+    read(required(*parsed, "after"), language, settings, after, second);
     Counts counts;
     std::uint64_t unexplained = 0;
     const auto found = differences(before, after, counts);
--- a/src/app/ctl/pcap.cpp
+++ b/src/app/ctl/pcap.cpp
@@ -54,6 +54,7 @@
     cxxopts::Options options("sloestackctl pcap make", "Makes a capture file of roster traffic.");
     options.add_options()("minutes", "how long", cxxopts::value<double>()->default_value("1"))(
         "rate", "requests a second", cxxopts::value<double>()->default_value("200"))(
+        "dialect", "postgres or tds", cxxopts::value<std::string>()->default_value("postgres"))(
         "seed", "equal seeds make equal files", cxxopts::value<std::uint64_t>()->default_value("1"))(
         "groups", "banks that the requests name", cxxopts::value<int>()->default_value("2"))(
         "clients", "connections at once, at least", cxxopts::value<std::size_t>()->default_value("0"))(
@@ -77,6 +78,8 @@
         throw BadCall("--clients must be 40000 at most: a recording has one client machine");
     settings.length_us = static_cast<std::int64_t>(minutes * 60e6);
     settings.seed = (*parsed)["seed"].as<std::uint64_t>();
+    settings.dialect = (*parsed)["dialect"].as<std::string>();
+    conversation::language(settings.dialect);  // that there is one is checked before a file is made
     settings.damage = standin::parse_damage((*parsed)["faults"].as<std::string>());
     const auto path = required(*parsed, "output");
     pcap::File file(path);
@@ -194,13 +197,15 @@
 int pcap_info(const Arguments& arguments) {
     cxxopts::Options options("sloestackctl pcap info",
                              "Says what a capture file holds. Exit code 1 where part of it cannot be read.");
-    options.add_options()("json", "report as JSON")(
+    options.add_options()("json", "report as JSON")("dialect", "postgres or tds",
+                                                    cxxopts::value<std::string>()->default_value("postgres"))(
         "server", "only streams to these, separated by commas, such as 10.0.0.4:5433",
         cxxopts::value<std::string>())("vlans-apart", "equal addresses on two VLANs are two streams");
     const auto parsed = parse(options, arguments, {"file"});
     if (!parsed) return kGood;
     Nobody nobody;
-    conversation::Recording recording(required(*parsed, "file"), conversation::postgres(),
+    conversation::Recording recording(required(*parsed, "file"),
+                                      conversation::language((*parsed)["dialect"].as<std::string>()),
                                       recording_settings(*parsed), nobody);
     while (recording.step()) {
     }
@@ -339,7 +344,8 @@
         "sloestackctl pcap replay",
         "Plays a capture against a proxy. Exit code 1 where an answer differs and no decision of "
         "the proxy is the cause.");
-    options.add_options()("to", "the proxy's address", cxxopts::value<std::string>());
+    options.add_options()("to", "the proxy's address", cxxopts::value<std::string>())(
+        "dialect", "postgres or tds", cxxopts::value<std::string>()->default_value("postgres"));
     add_play_options(options);
     const auto parsed = parse(options, arguments, {"file"});
     if (!parsed) return kGood;
@@ -354,8 +360,9 @@
         file = std::make_unique<pcap::File>((*parsed)["write"].as<std::string>());
         out = std::make_unique<writer::Writer>(writer::Settings{}, *file);
     }
-    replay::Replay run(loop, deadlines, settings, conversation::postgres(), deadlines.now() + kStartsIn,
-                       out.get());
+    replay::Replay run(loop, deadlines, settings,
+                       conversation::language((*parsed)["dialect"].as<std::string>()),
+                       deadlines.now() + kStartsIn, out.get());
     while (!run.over()) {
         run.work();
         if (run.over()) break;
--- a/src/record/conversation/conversation.cpp
+++ b/src/record/conversation/conversation.cpp
@@ -2,6 +2,8 @@
 
 #include <xxhash.h>
 
+#include <stdexcept>
+
 namespace sloestack::conversation {
 
 Digest digest_of(std::string_view bytes) {
@@ -19,12 +21,20 @@
             return "refused";
         case Kind::failed:
             return "failed";
+        case Kind::called_off:
+            return "called off";
         case Kind::none:
             return "none";
     }
     return "";
 }
 
+const Language& language(const std::string& name) {
+    if (name == "postgres") return postgres();
+    if (name == "tds") return tds();
+    throw std::invalid_argument("\"" + name + "\" is no dialect; there are postgres and tds");
+}
+
 const char* to_text(Cause cause) {
     switch (cause) {
         case Cause::none:
@@ -43,7 +53,9 @@
 // is nobody's decision.
 Verdict compare(const Answered& before, const Answered& after) {
     if (before.kind == after.kind && before.digest == after.digest && before.kind != Kind::none) return {};
-    if (before.kind == Kind::none && after.kind == Kind::none) return {};
+    // How much of an answer had come when its client called it off is chance.
+    if (before.kind == after.kind && (before.kind == Kind::none || before.kind == Kind::called_off))
+        return {};
     const auto said = [](const Answered& a) {
         return std::string(to_text(a.kind)) + (a.code.empty() ? "" : " " + a.code);
     };
--- a/src/record/conversation/conversation.h
+++ b/src/record/conversation/conversation.h
@@ -44,10 +44,11 @@
 };
 enum class Kind {
     served,
-    empty,    // an answer to a liveness check
-    refused,  // trying again is harmless
-    failed,   // it may have run
-    none      // no answer, or not a whole one: its fate is unknown
+    empty,       // an answer to a liveness check
+    refused,     // trying again is harmless
+    failed,      // it may have run
+    called_off,  // by its client, which may have come too late
+    none         // no answer, or not a whole one: its fate is unknown
 };
 const char* to_text(Kind kind);
 struct Answered {
@@ -111,6 +112,9 @@
                                 std::string_view key) const = 0;
 };
 const Language& postgres();  // protocol 3.0, simple queries
+const Language& tds();       // 7.2 to 7.4, batches and sp_executesql
+// By the name that operators give; throws std::invalid_argument naming those there are.
+const Language& language(const std::string& name);
 
 // ---- how two answers to one request compare ----
 enum class Cause { none, refused, failed, retried };  // what a proxy decided; none: no decision explains it
--- a/src/record/conversation/recording.cpp
+++ b/src/record/conversation/recording.cpp
@@ -124,7 +124,8 @@
 
 const Figures& Recording::figures() {
     figures_.tcp = streams_.counters();
-    for (const auto kind : {Kind::served, Kind::empty, Kind::refused, Kind::failed, Kind::none})
+    for (const auto kind :
+         {Kind::served, Kind::empty, Kind::refused, Kind::failed, Kind::called_off, Kind::none})
         if (const auto count = answers_[static_cast<std::size_t>(kind)])
             figures_.answers[to_text(kind)] = count;
     return figures_;
--- a/src/record/conversation/recording.h
+++ b/src/record/conversation/recording.h
@@ -95,7 +95,7 @@
     streams::StreamId last_id_ = 0;
     Stream* last_ = nullptr;  // the stream of last_id_
     std::unordered_map<std::uint64_t, int> open_ids_;
-    std::array<std::uint64_t, 5> answers_{};  // by Kind
+    std::array<std::uint64_t, 6> answers_{};  // by Kind
     pcap::Segment segment_;
     Figures figures_;
     std::int64_t latest_us_ = 0;
--- a/src/wire/tds/packet.h
+++ b/src/wire/tds/packet.h
@@ -52,6 +52,7 @@
     std::optional<Part> next(std::string_view bytes);
     void allow(std::size_t packet_size) { most_ = packet_size; }
     bool amid_message() const { return amid_; }  // its last packet has not come
+    Type type() const { return type_; }          // of the message read last, an attention aside
 
 private:
     std::size_t most_ = kFirstPacket;
--- a/standin/make.cpp
+++ b/standin/make.cpp
@@ -16,6 +16,9 @@
 #include "pgwire/build.h"
 #include "standin/load.h"
 #include "standin/values.h"
+#include "tds/login.h"
+#include "tds/request.h"
+#include "tds/token.h"
 #include "writer/writer.h"
 
 namespace standin {
@@ -24,6 +27,7 @@
 namespace pcap = sloestack::pcap;
 namespace writer = sloestack::writer;
 namespace pgwire = sloestack::pgwire;
+namespace tds = sloestack::tds;
 using Side = writer::Side;
 
 constexpr std::pair<const char*, Damage> kNames[] = {{"cut_head", Damage::cut_head},
@@ -55,14 +59,13 @@
 constexpr std::int64_t kIdle = 8'000'000;  // a client closes then; the proxy would after 10 s
 constexpr std::int64_t kTwoSeconds = 2'000'000;
 constexpr int kEthernet = 1;  // the link type of the files made here
-constexpr std::uint16_t kServerPort = 5433;
 constexpr std::uint16_t kFirstPort = 10'000, kLastPort = 60'000;
 constexpr std::uint32_t kNearWrap = 0xffffff00;  // some 256 bytes before the sequence numbers start anew
 
 // Stands between the writer and the file, and strikes the packets of the call that it is armed for.
 class Striker final : public pcap::Sink {
 public:
-    explicit Striker(pcap::Sink& out) : out_(out) {}
+    Striker(pcap::Sink& out, std::uint16_t server_port) : out_(out), server_port_(server_port) {}
     void arm(std::optional<Damage> damage) {
         damage_ = damage;
         payloads_ = 0;
@@ -75,7 +78,7 @@
     void frame(std::int64_t time_ns, std::string_view bytes, std::uint32_t) override {
         pcap::Segment s;
         pcap::decode(kEthernet, time_ns / 1000, bytes, s);
-        const auto port = s.from.port == kServerPort ? s.to.port : s.from.port;
+        const auto port = s.from.port == server_port_ ? s.to.port : s.from.port;
         if (silent_.count(port)) return;
         if (const auto by = shifted_.find(port); by != shifted_.end()) time_ns += by->second * 1000;
         const auto before = std::exchange(last_ns_, time_ns);
@@ -145,6 +148,7 @@
         }
     }
     pcap::Sink& out_;
+    std::uint16_t server_port_;
     std::optional<Damage> damage_;
     int payloads_ = 0;
     std::int64_t last_ns_ = 0;  // time of the packet before this one
@@ -160,6 +164,62 @@
 bool of_file(Damage d) { return d == Damage::vlans || d == Damage::truncate; }
 bool wants_large(Damage d) { return d == Damage::cut_value || d == Damage::reorder || d == Damage::snap; }
 
+// How a dialect's conversation looks on the wire.
+struct Form {
+    std::uint16_t port = 0;  // of the server
+    std::vector<std::pair<Side, std::string>> opening;
+    std::string (*request)(const Question&) = nullptr;
+    std::string (*answer)(std::string_view value, bool write) = nullptr;
+};
+
+std::string tds_message(tds::Type type, const std::string& payload) {
+    std::string out;
+    tds::PacketWriter(out).message(type, payload);
+    return out;
+}
+
+Form form_of(const std::string& dialect) {
+    Form out;
+    if (dialect == "postgres") {
+        std::string up, greeting;
+        pgwire::Builder(up).startup("portal", "crm");
+        pgwire::Builder(greeting).greeting();
+        out.port = 5433;
+        out.opening = {{Side::client, up}, {Side::server, greeting}};
+        out.request = [](const Question& q) {
+            std::string message;
+            pgwire::Builder(message).query(statement_of(q));
+            return message;
+        };
+        out.answer = answer_of;
+        return out;
+    }
+    if (dialect != "tds")
+        throw std::invalid_argument("\"" + dialect + "\" is no dialect; there are postgres and tds");
+    tds::Prelogin prelogin;
+    prelogin.encryption = tds::Encryption::not_supported;
+    tds::Login login;
+    login.user = "portal";
+    login.database = "crm";
+    std::string welcome;
+    tds::TokenBuilder(welcome)
+        .changed({tds::Change::packet_size, "4096", "4096"})
+        .acknowledged({tds::kVersion74, "sloestack", 1})
+        .done({});
+    out.port = 1433;
+    out.opening = {{Side::client, tds_message(tds::Type::prelogin, tds::build_prelogin(prelogin))},
+                   {Side::server, tds_message(tds::Type::result, tds::build_prelogin(prelogin))},
+                   {Side::client, tds_message(tds::Type::login, tds::build_login(login))},
+                   {Side::server, tds_message(tds::Type::result, welcome)}};
+    out.request = [](const Question& q) {
+        return tds_message(tds::Type::batch, tds::build_batch(tds_statement_of(q)));
+    };
+    out.answer = [](std::string_view value, bool) {
+        return tds_message(tds::Type::result, tds_answer_of(value));
+    };
+    return out;
+}
+
 // A code whose value is beyond what fits one packet by far.
 const std::string& large_code() {
     static const std::string code = [] {
@@ -173,9 +233,10 @@
 public:
     Maker(const MakeSettings& settings, pcap::Sink& out)
         : settings_(settings),
-          strike_(out),
+          form_(form_of(settings.dialect)),
+          strike_(out, form_.port),
           drawing_(settings.seed, settings.groups),
-          writer_(form(settings), strike_) {
+          writer_(tagged(settings), strike_) {
         for (const auto d : settings.damage)
             if (!of_file(d)) plans_.push_back(d);
     }
@@ -206,7 +267,7 @@
         std::optional<Damage> plan;
         bool open = true;
     };
-    static writer::Settings form(const MakeSettings& s) {
+    static writer::Settings tagged(const MakeSettings& s) {
         writer::Settings out;
         out.seed = s.seed;
         if (std::find(s.damage.begin(), s.damage.end(), Damage::vlans) != s.damage.end()) {
@@ -250,7 +311,7 @@
         if (c.plan == Damage::half_open) {
             pcap::Segment syn;
             syn.from = address(9, next_port());
-            syn.to = address(4, kServerPort);
+            syn.to = address(4, form_.port);
             syn.flags = pcap::flag::syn;
             strike_.frame(now * 1000, pcap::build(syn), 0);
         }
@@ -258,14 +319,14 @@
             strike_.silence(c.port);
             cut_heads_.insert(c.number);
         }
-        writer_.open(c.number, address(2, c.port), address(4, kServerPort), now);
-        std::string up, greeting;
-        pgwire::Builder(up).startup("portal", "crm");
-        pgwire::Builder(greeting).greeting();
-        writer_.data(c.number, Side::client, up, now);
-        at(now + 100, [this, number = c.number, greeting, now] {
-            writer_.data(number, Side::server, greeting, now + 100);
-        });
+        writer_.open(c.number, address(2, c.port), address(4, form_.port), now);
+        auto when = now;
+        for (const auto& [side, bytes] : form_.opening) {
+            at(when, [this, number = c.number, side = side, bytes = bytes, when] {
+                writer_.data(number, side, bytes, when);
+            });
+            when += 50;
+        }
         c.free_at = now + 200;
         return c;
     }
@@ -321,10 +382,9 @@
         const auto number = c.number;
         const auto port = c.port;
         c.free_at = when + takes + random.between(500, 4000);
-        std::string request;
-        pgwire::Builder(request).query(statement_of(q));
+        const auto request = form_.request(q);
         const bool write = kClasses[q.klass].write;
-        const auto answer = answer_of(write ? q.data : value_of(q.code), write);
+        const auto answer = form_.answer(write ? q.data : value_of(q.code), write);
         if (struck == Damage::cut_head) struck.reset();
         at(when, [this, number, port, request, struck, when] {
             const bool mine = struck && !of_answer(*struck);
@@ -349,6 +409,7 @@
     }
 
     MakeSettings settings_;
+    Form form_;
     Striker strike_;
     Drawing drawing_;
     writer::Writer writer_;
--- a/standin/make.h
+++ b/standin/make.h
@@ -45,6 +45,7 @@
     std::size_t clients =
         0;  // connections that are open at once at least, as far as there are requests for them
     std::vector<Damage> damage;
+    std::string dialect = "postgres";                // or "tds"
     std::int64_t begins_us = 1'767'225'600'000'000;  // Unix microseconds of the first packet
 };
 // "cut_tail,hole*3"; throws std::invalid_argument naming the word.
@@ -56,6 +57,7 @@
     std::vector<Damage> not_done;  // too few connections to do it to
 };
 // Damage::truncate is the caller's: it takes the end off the file.
+// Throws std::invalid_argument where there is no such dialect.
 Made make(const MakeSettings& settings, sloestack::pcap::Sink& out);
 
 }  // namespace standin
--- a/standin/values.cpp
+++ b/standin/values.cpp
@@ -4,6 +4,7 @@
 #include <cstdio>
 
 #include "pgwire/build.h"
+#include "tds/token.h"
 
 namespace standin {
 namespace {
@@ -51,14 +52,29 @@
     return text;
 }
 
+namespace {
+
+std::string tags_of(const Question& q) {
+    std::string out = " /* id=" + q.id + ",c=" + kClasses[q.klass].name + ",d=" + std::to_string(q.left_ms);
+    if (!q.key.empty()) out += ",k=" + q.key;
+    return out + ",cluster=" + std::to_string(q.group) + (q.repeat ? ",r=1 */" : " */");
+}
+std::string read_of(const Question& q) {
+    return "SELECT data FROM facts WHERE code = '" + q.code + "'" + tags_of(q);
+}
+
+}  // namespace
+
 std::string statement_of(const Question& q) {
-    const auto& c = kClasses[q.klass];
-    std::string tags = " /* id=" + q.id + ",c=" + c.name + ",d=" + std::to_string(q.left_ms);
-    if (!q.key.empty()) tags += ",k=" + q.key;
-    tags += ",cluster=" + std::to_string(q.group) + (q.repeat ? ",r=1 */" : " */");
-    if (!c.write) return "SELECT data FROM facts WHERE code = '" + q.code + "'" + tags;
+    if (!kClasses[q.klass].write) return read_of(q);
     return "INSERT INTO facts (code, data) VALUES ('" + q.code + "', '\\x" + hex(q.data) +
-           "') RETURNING data" + tags;
+           "') RETURNING data" + tags_of(q);
+}
+
+std::string tds_statement_of(const Question& q) {
+    if (!kClasses[q.klass].write) return read_of(q);
+    return "INSERT INTO facts (code, data) OUTPUT inserted.data VALUES ('" + q.code + "', 0x" + hex(q.data) +
+           ")" + tags_of(q);
 }
 
 std::string value_of(std::string_view code) {
@@ -97,4 +113,18 @@
     return out;
 }
 
+std::string tds_answer_of(std::string_view value) {
+    namespace tds = sloestack::tds;
+    tds::Column column;
+    column.name = "data";
+    column.type.id = tds::TypeId::varbinary;
+    column.type.size = tds::kMaxLength;
+    column.type.max = true;
+    std::string out;
+    tds::TokenBuilder(out).columns({column}).row();
+    tds::put_chunks(out, value);
+    tds::TokenBuilder(out).done({tds::Done::Kind::batch, tds::done::count, 0xc1, 1});
+    return out;
+}
+
 }  // namespace standin
--- a/standin/values.h
+++ b/standin/values.h
@@ -49,6 +49,7 @@
     bool repeat = false;
 };
 std::string statement_of(const Question& question);
+std::string tds_statement_of(const Question& question);  // the same as T-SQL has it
 
 // What a row holds that nobody has written: 16 to 300 bytes by its code, now and then many more.
 std::string value_of(std::string_view code);
@@ -57,5 +58,7 @@
 std::string data_in(std::string_view statement);
 // The four messages that answer it: description, row, end, ready.
 std::string answer_of(std::string_view value, bool write);
+// The same in TDS: columns, row and DONE, as the payload of a message.
+std::string tds_answer_of(std::string_view value);
 
 }  // namespace standin
--- a/tests/record/conversation_test.cpp
+++ b/tests/record/conversation_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include "heard.h"
 #include "pgwire/build.h"
 #include "standin/values.h"
 
@@ -11,27 +12,6 @@
 using namespace sloestack::conversation;
 namespace pgwire = sloestack::pgwire;
 
-struct Heard final : Listener {
-    std::vector<std::string> log;
-    std::vector<Digest> digests;
-    void opened(const Opened& o) override { log.push_back("opened " + std::to_string(o.bytes.size())); }
-    void greeted(ConnectionId, Time, const Digest&) override { log.push_back("greeted"); }
-    void asked(const Asked& a) override {
-        log.push_back("asked " + std::to_string(a.number) + " " + std::string(a.id) + " " +
-                      std::string(a.klass) + " " + std::string(a.key) + " " + std::to_string(a.left) +
-                      (a.ahead ? " ahead" : "") + (a.repeat ? " repeat" : ""));
-    }
-    void answered(const Answered& a) override {
-        log.push_back("answered " + std::to_string(a.number) + " " + to_text(a.kind) + " " + a.code +
-                      (a.advice ? " " + std::to_string(*a.advice) : ""));
-        digests.push_back(a.digest);
-    }
-    void cut(const Cut& c) override {
-        log.push_back(std::string("cut ") + (c.side == Side::client ? "client " : "server ") +
-                      std::to_string(c.offset) + " " + c.reason);
-    }
-};
-
 std::string startup() {
     std::string out;
     pgwire::Builder(out).startup("portal", "crm");
@@ -59,18 +39,6 @@
     return out;
 }
 
-struct Talk {
-    Memory memory;
-    Heard heard;
-    std::unique_ptr<Dialect> dialect = postgres().begin(1, memory, heard);
-    void say(Side from, const std::string& bytes, std::size_t step = std::string::npos) {
-        for (std::size_t at = 0; at < bytes.size(); at += step) {
-            dialect->read(from, std::string_view(bytes).substr(at, step), 7);
-            if (step == std::string::npos) break;
-        }
-    }
-};
-
 const std::vector<std::string> kWhole = {"opened " + std::to_string(startup().size()),
                                          "greeted",
                                          "asked 0 1 roster-view  600000",
--- a/tests/rehearse_test.sh
+++ b/tests/rehearse_test.sh
@@ -68,6 +68,20 @@
     says '"a write whose fate is not recorded": 2'
     says '"rules_broken": \[\]'
     ;;
+tds)  # the second dialect: files of it are made, read and compared as those of the first
+    make_file --dialect tds
+    exits 0 "$ctl" pcap info "$folder/a.pcap" --dialect tds --json
+    says '"cuts": 0'
+    exits 0 "$ctl" pcap diff "$folder/a.pcap" "$folder/a.pcap" --dialect tds
+    says ' 0 different'
+    exits 1 "$ctl" pcap info "$folder/a.pcap"
+    says 'not of the protocol'
+    make_file --dialect tds --faults "cut_tail,cut_answer,hole,hole_answer,reorder,retransmit,wrap,snap,rst"
+    exits 1 "$ctl" pcap info "$folder/a.pcap" --dialect tds --json
+    says 'inside a packet'
+    exits 2 "$ctl" pcap info "$folder/a.pcap" --dialect cobol
+    says 'is no dialect'
+    ;;
 calls)  # bad input: a sentence, exit code 2, and nothing started
     exits 2 "$ctl"
     exits 2 "$ctl" nonsense
