Lift the pool of member connections out of PostgreSQL's package

Need: links to TDS members are to have the same pool, drain and warm-up rules, without a copy of them. Change: fleet/upstream holds the pool, what an answer tells in no protocol's words, and the link as an interface; fleet/members holds PostgreSQL's link and reply. Moves and names only.

--- a/src/app/server/server.cpp
+++ b/src/app/server/server.cpp
@@ -6,6 +6,7 @@
 
 #include "invariant/invariant.h"
 #include "log/log.h"
+#include "members/link.h"
 
 namespace sloestack::server {
 namespace {
@@ -19,9 +20,12 @@
 constexpr const char* kUser = "portal";
 constexpr const char* kDatabase = "crm";
 
-members::PoolSettings pool_settings(const settings::InstanceSettings& s) {
-    members::PoolSettings out;
-    out.user = {kUser, kDatabase};
+upstream::PoolSettings pool_settings(net::Loop& loop, const settings::InstanceSettings& s) {
+    upstream::PoolSettings out;
+    out.link = [&loop](const sockaddr_in& to, net::Slot slot, upstream::LinkEvents& events) {
+        return std::make_unique<members::Link>(loop, to, std::move(slot),
+                                               members::Link::User{kUser, kDatabase}, events);
+    };
     if (s.connect_timeout_us > 0) out.connect_timeout_us = s.connect_timeout_us;
     if (s.idle_limit_us > 0) out.idle_limit_us = s.idle_limit_us;
     out.drain_grace_us = s.router.drain_grace_us;
@@ -74,7 +78,7 @@
       room_(net::bytes_for_clients(config.memory_mb)),
       numbers_(config.settings.class_names),
       proxy_(deadlines_, module_settings(config.settings.router), config.seed),
-      pool_(loop_, deadlines_, members_, pool_settings(config.settings), proxy_, numbers_),
+      pool_(loop_, deadlines_, members_, pool_settings(loop_, config.settings), proxy_, numbers_),
       lists_(config.settings.zone_names),
       known_(known_list(lists_, config.known)),
       discovery_(config.discovery_in_file) {
--- a/src/app/server/server.h
+++ b/src/app/server/server.h
@@ -9,12 +9,12 @@
 #include "control/control.h"
 #include "discovery/list.h"
 #include "discovery/watch.h"
-#include "members/pool.h"
 #include "net/loop.h"
 #include "net/quota.h"
 #include "numbers/numbers.h"
 #include "proxy/proxy.h"
 #include "succession/succession.h"
+#include "upstream/pool.h"
 
 namespace sloestack::server {
 
@@ -63,7 +63,7 @@
     numbers::Numbers numbers_;
     proxy::Proxy proxy_;
     bans::Bans bans_{proxy_};
-    members::Pool pool_;
+    upstream::Pool pool_;
     discovery::Reader lists_;
     discovery::List known_;  // until it begins
     std::unique_ptr<discovery::Watch> watch_;
--- a/src/fleet/members/link.cpp
+++ b/src/fleet/members/link.cpp
@@ -11,6 +11,7 @@
 // Room for the largest answer that is gathered, and what goes before and after it.
 constexpr std::size_t kMostUnread = pgwire::kLargestMessage + 32 * 1024;
 constexpr std::size_t kLongestGreeting = 8 * 1024;
+constexpr const char* kProbe = "SHOW load";
 
 std::string sqlstate_in(std::string_view body) {
     pgwire::Fields in(body);
@@ -25,7 +26,8 @@
 
 }  // namespace
 
-Link::Link(net::Loop& loop, const sockaddr_in& to, net::Slot slot, const User& user, LinkEvents& events)
+Link::Link(net::Loop& loop, const sockaddr_in& to, net::Slot slot, const User& user,
+           upstream::LinkEvents& events)
     : user_(user), events_(events), slot_(std::move(slot)) {
     connection_ = net::Connection::open(loop, to, kMostUnread, *this);
 }
@@ -52,6 +54,8 @@
     connection_->write(out);
 }
 
+void Link::probe() { query(kProbe); }
+
 // A large statement is written from where it is kept: no copy for each link.
 void Link::query(std::shared_ptr<const traffic::Statement> statement, Micros left) {
     const auto& s = *statement;
@@ -118,7 +122,7 @@
             state_ = State::idle;
             kept_ = true;
             auto reply = std::move(reply_);
-            events_.link_answered(*this, reply);
+            events_.link_answered(*this, reply.answer());
         }
         // A query that has only just gone out has no part of an answer yet.
         if (state_ == State::busy && (begun_ || connection_->held() > 0)) events_.link_answering(*this);
@@ -135,7 +139,7 @@
     begun_ = true;
     in_pieces_ = true;
     left_ = bytes;
-    if (!events_.link_value_begins(*this, *reply_.value(), bytes)) left_ = 0;
+    if (!events_.link_value_begins(*this, *reply_.answer().value, bytes)) left_ = 0;
     return true;
 }
 
@@ -180,7 +184,7 @@
 void Link::broken() {
     if (state_ == State::broken) return;
     // Told while the state still says whether a query was out and whether it may run.
-    events_.link_broken(*this, reply_, sqlstate_);
+    events_.link_broken(*this, reply_.answer(), sqlstate_ == pgwire::code::kTooManyConnections);
     state_ = State::broken;
 }
 
--- a/src/fleet/members/reply.cpp
+++ b/src/fleet/members/reply.cpp
@@ -1,8 +1,5 @@
 #include "members/reply.h"
 
-#include <charconv>
-#include <cmath>
-
 #include "pgwire/build.h"
 
 namespace sloestack::members {
@@ -10,24 +7,10 @@
 
 using nettletrestle::Outcome;
 using nettletrestle::Role;
-using nettletrestle::Standing;
 
 constexpr std::size_t kLongestAside = 8 * 1024;  // whatever is no value: names, reports, errors
 constexpr std::size_t kReady = 5;
 
-std::optional<double> number(std::string_view text) {
-    double out = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out);
-    if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(out)) return std::nullopt;
-    return out;
-}
-
-// Positions are Unix times; none lies beyond the year 5000, and 0 says that there is none.
-std::optional<nettletrestle::Time> position(double value, double unit_us) {
-    if (value <= 0 || value * unit_us > 1e17) return std::nullopt;
-    return static_cast<nettletrestle::Time>(std::llround(value * unit_us));
-}
-
 void nothing_more(const pgwire::Fields& in) {
     if (!in.empty()) throw pgwire::BadMessage("a message longer than its fields");
 }
@@ -45,26 +28,6 @@
 
 }  // namespace
 
-Standing read_load(std::string_view text) {
-    Standing out;
-    while (!text.empty()) {
-        const auto comma = text.find(',');
-        const auto pair = text.substr(0, comma);
-        text = comma == std::string_view::npos ? std::string_view{} : text.substr(comma + 1);
-        const auto equals = pair.find('=');
-        // One pair that cannot be read spoils the report: guards against believing what is left of it.
-        if (equals == std::string_view::npos) return {};
-        const auto name = pair.substr(0, equals);
-        const auto value = number(pair.substr(equals + 1));
-        if (!value || *value < 0) return {};
-        if (name == "x0") out.position = position(*value, 1e6);
-        if (name != "x1") continue;
-        if (*value != 0 && *value != 1) return {};
-        out.role = *value == 1 ? Role::primary : Role::replica;
-    }
-    return out;
-}
-
 Outcome outcome_of(std::string_view sqlstate) {
     if (sqlstate == pgwire::code::kReadOnly || sqlstate == pgwire::code::kTooFarBehind) return Outcome::miss;
     if (sqlstate == pgwire::code::kTooManyConnections) return Outcome::full;
@@ -73,17 +36,18 @@
 
 void Reply::parameter(std::string_view name, std::string_view value) {
     if (name == "role") {
-        if (value == "primary") standing_.role = Role::primary;
-        if (value == "replica") standing_.role = Role::replica;
+        if (value == "primary") answer_.standing.role = Role::primary;
+        if (value == "replica") answer_.standing.role = Role::replica;
     } else if (name == "applied_ms") {
-        if (const auto milliseconds = number(value)) standing_.position = position(*milliseconds, 1e3);
+        if (const auto milliseconds = upstream::number(value))
+            answer_.standing.position = upstream::position(*milliseconds, 1e3);
     } else if (name == "load") {
-        reported_ = read_load(value);
+        answer_.reported = upstream::read_load(value);
     }
 }
 
 std::size_t Reply::longest(char type) const {
-    const bool begun = value_ || outcome_;
+    const bool begun = answer_.value || answer_.outcome;
     switch (type) {
         case 'S':
         case 'N':
@@ -92,12 +56,12 @@
         case 'I':
             return begun ? 0 : kLongestAside;
         case 'D':
-            return value_ && !row_ && !outcome_ ? pgwire::kLargestValue + kRowHead - 1 : 0;
+            return answer_.value && !row_ && !answer_.outcome ? pgwire::kLargestValue + kRowHead - 1 : 0;
         case 'C':
         case 'E':
-            return outcome_ ? 0 : kLongestAside;
+            return answer_.outcome ? 0 : kLongestAside;
         case 'Z':
-            return outcome_ ? kReady : 0;
+            return answer_.outcome ? kReady : 0;
         default:
             return 0;
     }
@@ -106,7 +70,7 @@
 std::size_t Reply::begin_row(std::string_view head, std::size_t size) {
     pgwire::Fields in(head);
     in.byte(), in.int32();
-    if (!value_ || row_ || in.int16() != 1) throw pgwire::BadMessage("a row out of place");
+    if (!answer_.value || row_ || in.int16() != 1) throw pgwire::BadMessage("a row out of place");
     const std::size_t bytes = in.int32();
     if (bytes != size - kRowHead) throw pgwire::BadMessage("a value that does not fill its row");
     row_ = true;
@@ -124,7 +88,7 @@
         }
         case 'T': {
             if (in.int16() != 1) throw pgwire::BadMessage("a row of other than one column");
-            auto& v = value_.emplace();
+            auto& v = answer_.value.emplace();
             v.column = in.text();
             in.int32(), in.int16();
             v.type = in.int32();
@@ -136,10 +100,10 @@
             return false;
         }
         case 'D': {
-            if (!value_ || row_ || in.int16() != 1) throw pgwire::BadMessage("a row out of place");
+            if (!answer_.value || row_ || in.int16() != 1) throw pgwire::BadMessage("a row out of place");
             const std::size_t size = in.int32();
-            value_->null = size == 0xffffffff;
-            if (!value_->null) value_->bytes = in.bytes(size);
+            answer_.value->null = size == 0xffffffff;
+            if (!answer_.value->null) answer_.value->bytes = in.bytes(size);
             nothing_more(in);
             row_ = true;
             return false;
@@ -148,20 +112,20 @@
             // Served is the row and the command's end; an end without a row tells that nothing was served.
             const auto tag = in.text();
             nothing_more(in);
-            if (value_) value_->tag = tag;
-            if (!outcome_) outcome_ = row_ ? Outcome::ok : Outcome::error;
+            if (answer_.value) answer_.value->tag = tag;
+            if (!answer_.outcome) answer_.outcome = row_ ? Outcome::ok : Outcome::error;
             return false;
         }
         case 'E':
-            outcome_ = outcome_of(sqlstate_of(message.body));
+            answer_.outcome = outcome_of(sqlstate_of(message.body));
             return false;
         case 'I':
-            outcome_ = Outcome::error;
+            answer_.outcome = Outcome::error;
             return false;
         case 'N':
             return false;
         case 'Z':
-            if (!outcome_) throw pgwire::BadMessage("ready without an answer");
+            if (!answer_.outcome) throw pgwire::BadMessage("ready without an answer");
             if (in.byte() != 'I') throw pgwire::BadMessage("ready inside a transaction");
             nothing_more(in);
             return true;
--- a/src/fleet/members/reply.h
+++ b/src/fleet/members/reply.h
@@ -1,13 +1,12 @@
 // What a member answers to one query, gathered message by message. Pure.
 #pragma once
 
-#include <optional>
 #include <string>
 #include <string_view>
 
 #include "nettletrestle/router.h"
 #include "pgwire/frame.h"
-#include "traffic/traffic.h"
+#include "upstream/answer.h"
 
 namespace sloestack::members {
 
@@ -23,24 +22,16 @@
     std::size_t begin_row(std::string_view head, std::size_t size);
     static constexpr std::size_t kRowHead = 1 + 4 + 2 + 4;  // type, length, count of columns, size
 
-    // How the query ended, as far as told: nothing before the command's end or an error.
-    std::optional<nettletrestle::Outcome> outcome() const { return outcome_; }
-    const nettletrestle::Standing& standing() const { return standing_; }
-    const nettletrestle::Standing& reported() const { return reported_; }
-    // The row; to be taken where the outcome is ok.
-    std::optional<traffic::Value>& value() { return value_; }
+    // As far as told.
+    upstream::Answer& answer() { return answer_; }
 
 private:
     void parameter(std::string_view name, std::string_view value);
 
-    std::optional<nettletrestle::Outcome> outcome_;
-    nettletrestle::Standing standing_, reported_;
-    std::optional<traffic::Value> value_;
+    upstream::Answer answer_;
     bool row_ = false;
 };
 
-// A load report: name=value pairs with commas between.
-nettletrestle::Standing read_load(std::string_view text);
 nettletrestle::Outcome outcome_of(std::string_view sqlstate);
 
 }  // namespace sloestack::members
--- a/src/fleet/members/pool.cpp
+++ b/src/fleet/upstream/pool.cpp
@@ -1,10 +1,10 @@
-#include "members/pool.h"
+#include "upstream/pool.h"
 
 #include <algorithm>
 
 #include "invariant/invariant.h"
 
-namespace sloestack::members {
+namespace sloestack::upstream {
 namespace {
 
 using nettletrestle::ListKind;
@@ -12,7 +12,6 @@
 using nettletrestle::ServerState;
 
 constexpr traffic::RequestId kProbes = 0;  // no request has this number
-constexpr const char* kProbe = "SHOW load";
 constexpr Micros kProbeTimeout = 250'000;
 constexpr Micros kIdleMargin = 1'000'000;  // ours close this much before the members' would
 constexpr Micros kGraceMargin = 20'000;    // of the drain grace, kept for the way to the member
@@ -150,16 +149,15 @@
     auto slot = quota_.take();
     if (!slot && close_an_idle_link()) slot = quota_.take();
     if (!slot) return false;
-    auto link = std::make_unique<Link>(loop_, *member.address, std::move(slot), settings_.user,
-                                       static_cast<LinkEvents&>(*this));
+    auto link = settings_.link(*member.address, std::move(slot), static_cast<LinkEvents&>(*this));
     if (!link->opened()) return false;
     auto& l = *link;
     member.links.push_back(std::move(link));
     by_link_[&l] = Place{&member, std::prev(member.links.end()), nullptr, false, false};
     ++member.coming_up;
     l.deadline.set(deadlines_, deadlines_.now() + settings_.connect_timeout_us, [this, &l] {
-        Reply none;
-        link_broken(l, none, {});
+        Answer none;
+        link_broken(l, none, false);
     });
     return true;
 }
@@ -202,7 +200,7 @@
     by_link_.at(&link).job = &job;
     link.deadline.clear();
     if (job.is_probe())
-        link.query(kProbe);
+        link.probe();
     else
         link.query(job.attempt.statement, job.attempt.give_up_at - deadlines_.now());
     return true;
@@ -226,7 +224,7 @@
     end(job, outcome);
 }
 
-void Pool::end(Job& job, Outcome outcome, Reply* reply) {
+void Pool::end(Job& job, Outcome outcome, Answer* answer) {
     const auto found = jobs_.find({job.attempt.request, job.attempt.number});
     if (!SLOESTACK_INVARIANT(found != jobs_.end(), "an attempt ends once")) return;
     const auto owned = std::move(found->second);
@@ -237,7 +235,7 @@
         e.server = job.attempt.server;
         e.outcome = outcome;
         e.latency_us = latency;
-        if (reply && reply->value()) e.reported = read_load(reply->value()->bytes);
+        if (answer && answer->value) e.reported = read_load(answer->value->bytes);
         return results_.probe_ended(e);
     }
     nettletrestle::AttemptEnded e;
@@ -248,10 +246,10 @@
     e.latency_us = latency;
     e.on_kept = job.on_kept;
     std::optional<traffic::Value> value;
-    if (reply) {
-        e.standing = reply->standing();
-        e.reported = reply->reported();
-        if (outcome == Outcome::ok) value = std::move(reply->value());
+    if (answer) {
+        e.standing = answer->standing;
+        e.reported = answer->reported;
+        if (outcome == Outcome::ok) value = std::move(answer->value);
     }
     results_.attempt_ended(e, std::move(value));
 }
@@ -336,34 +334,34 @@
                       [&link] { link.spoilt(); });
 }
 
-void Pool::link_answered(Link& link, Reply& reply) {
+void Pool::link_answered(Link& link, Answer& answer) {
     link.deadline.clear();
     auto& place = by_link_.at(&link);
     auto* job = std::exchange(place.job, nullptr);
     job->link = nullptr;
     auto& member = *place.member;
-    end(*job, *reply.outcome(), &reply);
+    end(*job, *answer.outcome, &answer);
     rest(member, link);
 }
 
-void Pool::link_broken(Link& link, Reply& reply, const std::string& sqlstate) {
+void Pool::link_broken(Link& link, Answer& answer, bool turned_away) {
     const auto place = by_link_.at(&link);
     auto& member = *place.member;
     const bool was_up = link.is_up(), may_have_run = link.may_run();
     drop(link);
     if (place.job) {
         place.job->link = nullptr;
-        const auto outcome = reply.outcome() ? *reply.outcome()
-                             : may_have_run  ? Outcome::reset
-                                             : Outcome::connect_failed;
-        return end(*place.job, outcome, reply.outcome() ? &reply : nullptr);
+        const auto outcome = answer.outcome ? *answer.outcome
+                             : may_have_run ? Outcome::reset
+                                            : Outcome::connect_failed;
+        return end(*place.job, outcome, answer.outcome ? &answer : nullptr);
     }
     if (was_up) return serve_waiting(member);  // what waited for it to have rested needs another
     // One link that would not come up takes one attempt with it; the others wait for theirs.
     if (member.waiting.size() <= member.coming_up) return;
     auto& job = *member.waiting.front();
     member.waiting.pop_front();
-    end(job, sqlstate == "53300" ? Outcome::full : Outcome::connect_failed);
+    end(job, turned_away ? Outcome::full : Outcome::connect_failed);
 }
 
-}  // namespace sloestack::members
+}  // namespace sloestack::upstream
--- a/src/fleet/members/pool.h
+++ b/src/fleet/upstream/pool.h
@@ -1,5 +1,5 @@
 // Connections to the members, and the attempts and probes that travel on them. The pool turns what happens on
-// sockets into outcomes; which member an attempt goes to is not its business.
+// sockets into outcomes; which member an attempt goes to is not its business, nor is the protocol on a link.
 #pragma once
 
 #include <deque>
@@ -10,15 +10,15 @@
 #include <vector>
 
 #include "deadlines/deadlines.h"
-#include "members/link.h"
 #include "net/quota.h"
 #include "numbers/numbers.h"
 #include "traffic/traffic.h"
+#include "upstream/link.h"
 
-namespace sloestack::members {
+namespace sloestack::upstream {
 
 struct PoolSettings {
-    Link::User user;
+    LinkMaker link;  // of the protocol that these members speak
     Micros connect_timeout_us = 250'000;
     Micros idle_limit_us = 15'000'000;  // the members'; ours are closed before
     Micros drain_grace_us = 0;
@@ -54,7 +54,7 @@
     void rest(Member& member, Link& link);
     void became_idle(Member& member, Link& link);
     void give_up(Job& job, nettletrestle::Outcome outcome);
-    void end(Job& job, nettletrestle::Outcome outcome, Reply* reply = nullptr);
+    void end(Job& job, nettletrestle::Outcome outcome, Answer* answer = nullptr);
     void drop(Link& link);
     void told(Member& member, bool leaving);
 
@@ -63,8 +63,8 @@
     bool link_value_begins(Link& link, const traffic::Value& head, std::size_t size) override;
     void link_piece(Link& link, std::string_view bytes) override;
     void link_answering(Link& link) override;
-    void link_answered(Link& link, Reply& reply) override;
-    void link_broken(Link& link, Reply& reply, const std::string& sqlstate) override;
+    void link_answered(Link& link, Answer& answer) override;
+    void link_broken(Link& link, Answer& answer, bool turned_away) override;
 
     net::Loop& loop_;
     Deadlines& deadlines_;
@@ -85,4 +85,4 @@
     int probes_ = 0;
 };
 
-}  // namespace sloestack::members
+}  // namespace sloestack::upstream
