--- a/src/app/ctl/rig.cpp
+++ b/src/app/ctl/rig.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -78,7 +79,8 @@
     std::unique_ptr<net::Connection> connection_;
 };
 
-Rig::Rig(const RigSettings& settings) : settings_(settings), address_(free_address()) {
+Rig::Rig(const RigSettings& settings)
+    : settings_(settings), checker_(settings.rules), address_(free_address()) {
     fleet_ = std::make_unique<standin::Fleet>(loop_, deadlines_, settings.fleet, checker_,
                                               [this](Micros down_for) { kill_for(down_for); });
     char folder[] = "/tmp/sloestack-rig-XXXXXX";
@@ -124,6 +126,7 @@
     child_ = fork();
     if (child_ < 0) throw std::runtime_error("the proxy cannot be started");
     if (child_ > 0) return;
+    prctl(PR_SET_PDEATHSIG, SIGKILL);  // however this program ends, the proxy does not outlive it
     if (!settings_.verbose) {
         const int none = open("/dev/null", O_WRONLY);
         dup2(none, STDERR_FILENO);
