Say once how rounds number connections, and share a replay's output

Change: connection_in, endpoint_of and Output are each there once; a member, a field and a parameter that nothing used are gone.

--- a/src/app/ctl/pcap.cpp
+++ b/src/app/ctl/pcap.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 constexpr std::size_t kCutRecord = 7;  // bytes taken off the end of a file for the damage "truncate"
-constexpr Micros kStartsIn = 50'000;   // from the call to the first step of a replay
 
 std::vector<std::string> words(const std::string& text, char at) {
     std::vector<std::string> out;
@@ -110,13 +109,8 @@
 conversation::RecordingSettings recording_settings(const cxxopts::ParseResult& parsed) {
     conversation::RecordingSettings out;
     if (parsed.count("server"))
-        for (const auto& text : words(parsed["server"].as<std::string>(), ',')) {
-            const auto at = address(text, "server");
-            pcap::Endpoint e;
-            std::memcpy(e.address.data(), &at.sin_addr, 4);
-            e.port = ntohs(at.sin_port);
-            out.servers.push_back(e);
-        }
+        for (const auto& text : words(parsed["server"].as<std::string>(), ','))
+            out.servers.push_back(pcap::endpoint_of(address(text, "server")));
     out.streams.vlans_apart = parsed.count("vlans-apart") > 0;
     return out;
 }
@@ -267,6 +261,16 @@
     return out;
 }
 
+Output::Output(const cxxopts::ParseResult& parsed) {
+    if (!parsed.count("write")) return;
+    file_ = std::make_unique<pcap::File>(parsed["write"].as<std::string>());
+    writer_ = std::make_unique<writer::Writer>(writer::Settings{}, *file_);
+}
+
+void Output::close() {
+    if (file_) file_->close();
+}
+
 nlohmann::json quantiles(const histogram::Histogram& h) {
     return {{"count", h.count()}, {"p50", h.quantile(0.5)}, {"p99", h.quantile(0.99)}, {"most", h.most()}};
 }
@@ -354,15 +358,10 @@
     const Clock clock;
     net::Loop loop;
     Deadlines deadlines(clock);
-    std::unique_ptr<pcap::File> file;
-    std::unique_ptr<writer::Writer> out;
-    if (parsed->count("write")) {
-        file = std::make_unique<pcap::File>((*parsed)["write"].as<std::string>());
-        out = std::make_unique<writer::Writer>(writer::Settings{}, *file);
-    }
+    Output output(*parsed);
     replay::Replay run(loop, deadlines, settings,
                        conversation::language((*parsed)["dialect"].as<std::string>()),
-                       deadlines.now() + kStartsIn, out.get());
+                       deadlines.now() + kStartsIn, output.writer());
     while (!run.over()) {
         run.work();
         if (run.over()) break;
@@ -371,7 +370,7 @@
         deadlines.sweep();
         loop.end_turn();
     }
-    if (file) file->close();
+    output.close();
     if (parsed->count("json")) {
         auto report = to_json(run.report(), run.schedule().counters());
         report["file"] = to_json(run.file(), run.file_fault());
--- a/src/app/ctl/play.h
+++ b/src/app/ctl/play.h
@@ -6,9 +6,24 @@
 #include "ctl/command.h"
 #include "pcap/file.h"
 #include "replay/replay.h"
+#include "writer/writer.h"
 
 namespace sloestack::ctl {
 
+constexpr Micros kStartsIn = 50'000;  // from the call to the first step of a replay
+
+// Where --write asks for it, the capture file that a replay writes.
+class Output {
+public:
+    explicit Output(const cxxopts::ParseResult& parsed);      // throws pcap::BadFile
+    writer::Writer* writer() const { return writer_.get(); }  // null where nothing is written
+    void close();                                             // throws pcap::BadFile
+
+private:
+    std::unique_ptr<pcap::File> file_;
+    std::unique_ptr<writer::Writer> writer_;
+};
+
 void add_play_options(cxxopts::Options& options);
 // Throws BadCall naming the option that is wrong.
 replay::Settings play_settings(const cxxopts::ParseResult& parsed, const std::string& path);
--- a/src/app/ctl/rehearse.cpp
+++ b/src/app/ctl/rehearse.cpp
@@ -11,8 +11,6 @@
 namespace sloestack::ctl {
 namespace {
 
-constexpr Micros kStartsIn = 50'000;
-
 void add_fleet_options(cxxopts::Options& options) {
     options.add_options()("banks", "banks of members", cxxopts::value<int>()->default_value("2"))(
         "members", "members of a bank", cxxopts::value<int>()->default_value("3"))(
@@ -69,12 +67,7 @@
     const auto rig_of = rig_settings(*parsed);
     // A file that cannot be read is told before anything is started.
     { const pcap::Reader tried(settings.path); }
-    std::unique_ptr<pcap::File> file;
-    std::unique_ptr<writer::Writer> out;
-    if (parsed->count("write")) {
-        file = std::make_unique<pcap::File>((*parsed)["write"].as<std::string>());
-        out = std::make_unique<writer::Writer>(writer::Settings{}, *file);
-    }
+    Output output(*parsed);
     Rig rig(rig_of);
     settings.to = rig.proxy();
     settings.checker = [&](const replay::Request& request, const conversation::Answered* answer) {
@@ -85,9 +78,9 @@
                                    answer->digest.low);
     };
     replay::Replay run(rig.loop(), rig.deadlines(), settings, conversation::postgres(),
-                       rig.deadlines().now() + kStartsIn, out.get());
+                       rig.deadlines().now() + kStartsIn, output.writer());
     rig.run([&] { return run.over(); }, [&] { run.work(); });
-    if (file) file->close();
+    output.close();
     const auto resident = rig.resident_kb();
     const bool restarted = std::any_of(rig_of.fleet.script.begin(), rig_of.fleet.script.end(),
                                        [](auto& f) { return f.trouble == standin::Trouble::restart; });
--- a/src/record/pcap/packet.cpp
+++ b/src/record/pcap/packet.cpp
@@ -148,6 +148,13 @@
     return Skip::not_ip;
 }
 
+Endpoint endpoint_of(const sockaddr_in& at) {
+    Endpoint out;
+    std::memcpy(out.address.data(), &at.sin_addr, 4);
+    out.port = ntohs(at.sin_port);
+    return out;
+}
+
 std::string to_text(const Endpoint& at) {
     char text[INET6_ADDRSTRLEN] = "";
     inet_ntop(at.v6 ? AF_INET6 : AF_INET, at.address.data(), static_cast<char*>(text), sizeof text);
--- a/src/record/pcap/packet.h
+++ b/src/record/pcap/packet.h
@@ -4,6 +4,8 @@
 // pcap-linktype(7).
 #pragma once
 
+#include <netinet/in.h>
+
 #include <array>
 #include <cstdint>
 #include <string>
@@ -21,6 +23,7 @@
         return std::tie(v6, address, port) < std::tie(o.v6, o.address, o.port);
     }
 };
+Endpoint endpoint_of(const sockaddr_in& at);
 std::string to_text(const Endpoint& at);  // "10.0.0.4:5433", "[::1]:5433"
 
 namespace flag {
--- a/src/record/replay/replay.cpp
+++ b/src/record/replay/replay.cpp
@@ -1,9 +1,6 @@
 #include "replay/replay.h"
 
-#include <arpa/inet.h>
-
 #include <algorithm>
-#include <cstring>
 #include <utility>
 
 namespace sloestack::replay {
@@ -24,18 +21,6 @@
 // Tickets carry what they stand for: 8 bits of the round, 32 of the connection, 24 of the number on it.
 constexpr int kNumberBits = 24, kConnectionBits = 32;
 
-// As the schedule names the connections of a round.
-std::uint64_t connection_of(std::uint64_t recorded, int round) {
-    return recorded + (static_cast<std::uint64_t>(round) << 40);
-}
-
-pcap::Endpoint endpoint(const sockaddr_in& at) {
-    pcap::Endpoint out;
-    std::memcpy(out.address.data(), &at.sin_addr, 4);
-    out.port = ntohs(at.sin_port);
-    return out;
-}
-
 }  // namespace
 
 // ---- one live connection ----
@@ -74,7 +59,7 @@
         up_ = true;
         ++of_.report_.connections;
         if (of_.out_)
-            of_.out_->open(number_, endpoint(link_->local()), endpoint(of_.settings_.to),
+            of_.out_->open(number_, pcap::endpoint_of(link_->local()), pcap::endpoint_of(of_.settings_.to),
                            of_.deadlines_.now());
         write(opening_);
     }
@@ -183,9 +168,9 @@
         up_ = false;
     }
 
-    // What was sent may have run: a write is not sent again. A read is, once, where the connection had stood
-    // idle before and nothing of an answer came: a proxy may close one between requests (PROTOCOL, clients to
-    // proxies).
+    // What was sent may have run: a write is not sent again. A read is, once, where nothing of an answer
+    // came: a proxy may close a connection between requests, and a client whose request crosses that sends it
+    // again.
     void lose(writer::Side by, bool reset) {
         if (!link_) return;
         const bool was_up = dialect_->greeted();
@@ -272,7 +257,7 @@
 }
 
 void Replay::opened(const conversation::Opened& o) {
-    openings_[connection_of(o.connection, schedule_.round())] = std::string(o.bytes);
+    openings_[schedule::connection_in(schedule_.round(), o.connection)] = std::string(o.bytes);
     schedule::Recorded step;
     step.ticket = 0;
     step.connection = o.connection;
@@ -315,7 +300,7 @@
     const auto found = requests_.find(ticket);
     if (found == requests_.end()) return;  // it was skipped
     auto& request = found->second;
-    if (a.kind == Kind::none && request.round == 0) schedule_.answer_missing(a.connection, request.key);
+    if (a.kind == Kind::none && request.round == 0) schedule_.answer_missing(request.key);
     request.recorded = a;
     settle(ticket);
 }
--- a/src/record/schedule/schedule.cpp
+++ b/src/record/schedule/schedule.cpp
@@ -22,7 +22,6 @@
 Schedule::Schedule(const Settings& settings, Time start)
     : settings_(settings),
       timeline_(settings.speed, settings.stretch),
-      start_(start),
       round_start_(start),
       latest_due_(start) {
     if (!(settings.most_per_second >= 0 && settings.most_per_second <= 1e6))
@@ -74,11 +73,8 @@
     item.round = round_;
     item.due = round_start_ + timeline_.due(at - *first_);
     item.step = std::move(step);
-    // Connections of a round are its own.
-    item.step.connection += static_cast<ConnectionId>(round_) << 40;
-    if (round_ > 0) {
-        if (!item.step.id.empty()) item.step.id = name(item.step.id, round_);
-    }
+    item.step.connection = connection_in(round_, item.step.connection);
+    if (!item.step.id.empty()) item.step.id = name(item.step.id, round_);
     latest_due_ = std::max(latest_due_, item.due);
     const auto connection = item.step.connection;
     auto& lane = lanes_[connection];
@@ -98,7 +94,7 @@
     return !finished_;
 }
 
-void Schedule::answer_missing(ConnectionId, const std::string& key) {
+void Schedule::answer_missing(const std::string& key) {
     if (settings_.rounds > 1 && !key.empty()) missing_.insert(key);
 }
 
@@ -223,9 +219,8 @@
     }
     if (lane.items.empty() && lane.unanswered == 0)
         lanes_.erase(at);
-    else if (!lane.items.empty()) {
+    else
         list(at->first, lane);
-    }
     return out;
 }
 
--- a/src/record/schedule/schedule.h
+++ b/src/record/schedule/schedule.h
@@ -86,6 +86,11 @@
 // What became of a request that was played.
 enum class Fate { refused, answered, unknown };
 
+// How Due names the connections of a round: each round has connections of its own.
+constexpr ConnectionId connection_in(int round, ConnectionId recorded) {
+    return recorded + (static_cast<ConnectionId>(round) << 40);
+}
+
 class Schedule {
 public:
     // `start`: when the first step is due, on the caller's clock. Throws std::invalid_argument naming the
@@ -105,8 +110,8 @@
     std::optional<Due> take(Time now);
     // A request that take() gave has ended; its connection may ask on.
     void ended(Ticket ticket, Fate fate, Time now);
-    // The file holds no answer to that write: it is left out of later rounds. `connection` as in the file.
-    void answer_missing(ConnectionId connection, const std::string& key);
+    // The file holds no answer to the write of that key: it is left out of later rounds.
+    void answer_missing(const std::string& key);
 
     bool over() const { return finished_ && lanes_.empty() && open_.empty() && waiting_.empty(); }
     std::size_t open() const { return open_.size(); }  // requests without their answers
@@ -149,7 +154,6 @@
 
     Settings settings_;
     Timeline timeline_;
-    Time start_;
     std::optional<Time> first_;  // the file's time of its first step
     Monotone clock_;
     std::multimap<Time, Recorded> waiting_;             // within the window of Backwards::sort
--- a/standin/load.cpp
+++ b/standin/load.cpp
@@ -137,7 +137,7 @@
         }
         Asked asked;
         asked.question = drawing_.next();
-        asked.at = asked.first_at = next_at_;
+        asked.first_at = next_at_;
         next_at_ += std::max<std::int64_t>(
             1, static_cast<std::int64_t>(drawing_.random().exponential(1e6 / settings_.rate)));
         ++open_;
--- a/standin/load.h
+++ b/standin/load.h
@@ -56,7 +56,7 @@
     class Client;
     struct Asked {
         Question question;
-        std::int64_t at = 0, first_at = 0;
+        std::int64_t first_at = 0;
         bool is_retry = false;
     };
     void arrive();
--- a/tests/record/schedule_test.cpp
+++ b/tests/record/schedule_test.cpp
@@ -176,7 +176,7 @@
     Schedule s(settings, kStart);
     s.add(ask(1, 1, 0, "a", "k1"));
     s.add(ask(2, 2, 100, "b", "k2"));
-    s.answer_missing(2, "k2");
+    s.answer_missing("k2");
     EXPECT_TRUE(s.end_of_round());
     s.add(ask(11, 1, 0, "a", "k1"));
     s.add(ask(12, 2, 100, "b", "k2"));
