Watch the list from revision 0 as from any other, and reject lists older than held

Temporary lines at each call and answer showed why: `known` and discovery's own list both had revision 0, and src/fleet/discovery/watch.cpp took 0 for "none" (`revision_ > 0`, in call and write_call). Each proxy asked for the whole list of 60 entries, got it at once, and asked again at once, 100 proxies at a discovery that can serve a few such calls a second. Ruled out by the same lines: that changes were lost or answered wrongly (those who had a later revision were told each change within a second), and that the new members turned attempts away (almost none were sent).

The revision is an optional now. A list older than the one held is rejected, with a log line, and changes nothing. Both have a scenario, seen to fail before.

--- a/src/app/server/server.cpp
+++ b/src/app/server/server.cpp
@@ -59,6 +59,10 @@
     }
 }
 
+std::optional<std::int64_t> known_revision(const config::Config& config, const discovery::List& known) {
+    return config.known.is_null() ? std::nullopt : std::optional(known.revision);
+}
+
 // Where the processes of one proxy find each other.
 std::string tie_path(const config::Config& config) {
     auto name = config.name;
@@ -83,7 +87,7 @@
       known_(known_list(lists_, config.known)),
       discovery_(config.discovery_in_file) {
     watch_ = std::make_unique<discovery::Watch>(loop_, deadlines_, config.discovery, config.discovery_host,
-                                                lists_, known_.revision, bans_);
+                                                lists_, known_revision(config, known_), bans_);
     proxy_.attach({pool_, [this] { watch_->start(); },
                    [this](auto kind, const auto& entries) { pool_.listed(kind, entries); }});
     door_ = std::make_unique<clients::Door>(
--- a/src/fleet/discovery/list.cpp
+++ b/src/fleet/discovery/list.cpp
@@ -85,10 +85,13 @@
     listed_.merge(named);
 }
 
-List Reader::read(const nlohmann::json& json) {
+List Reader::read(const nlohmann::json& json, std::optional<std::int64_t> held) {
     try {
         List out;
         out.revision = json.at("revision").get<std::int64_t>();
+        if (held && out.revision < *held)
+            throw std::runtime_error("a list of revision " + std::to_string(out.revision) + ", older than " +
+                                     std::to_string(*held));
         out.complete = json.at("complete").get<bool>();
         for (const auto& member : json.at("members")) out.members.push_back(entry(member));
         keep_numbers(json.at("members"), out.complete);
@@ -98,10 +101,10 @@
     }
 }
 
-List Reader::read(const std::string& text) {
+List Reader::read(const std::string& text, std::optional<std::int64_t> held) {
     const auto json = nlohmann::json::parse(text, nullptr, false);
     if (json.is_discarded()) throw std::runtime_error("the list is not JSON");
-    return read(json);
+    return read(json, held);
 }
 
 }  // namespace sloestack::discovery
--- a/src/fleet/discovery/list.h
+++ b/src/fleet/discovery/list.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -46,9 +47,9 @@
 class Reader {
 public:
     explicit Reader(std::vector<std::string> zones) : zones_(std::move(zones)) {}
-    // Throws std::runtime_error saying what is wrong with the list.
-    List read(const nlohmann::json& json);
-    List read(const std::string& text);
+    // Throws std::runtime_error saying what is wrong with the list, also where it is older than `held`.
+    List read(const nlohmann::json& json, std::optional<std::int64_t> held = {});
+    List read(const std::string& text, std::optional<std::int64_t> held = {});
     bool ever_listed(const std::string& name) const { return numbers_.knows(name); }
     std::size_t names() const { return numbers_.size(); }
 
--- a/src/fleet/discovery/watch.cpp
+++ b/src/fleet/discovery/watch.cpp
@@ -14,7 +14,7 @@
 }  // namespace
 
 Watch::Watch(net::Loop& loop, Deadlines& deadlines, const sockaddr_in& at, std::string host, Reader& lists,
-             std::int64_t revision, traffic::ListReader& reader)
+             std::optional<std::int64_t> revision, traffic::ListReader& reader)
     : loop_(loop),
       deadlines_(deadlines),
       at_(at),
@@ -32,7 +32,7 @@
 void Watch::move(const sockaddr_in& at, std::string host) {
     at_ = at;
     host_ = std::move(host);
-    revision_ = 0;
+    revision_.reset();
     response_.reset();
     connection_.reset();
     patience_.clear();
@@ -43,7 +43,7 @@
 void Watch::call() {
     response_.emplace();
     reused_ = connection_ != nullptr;
-    patience_.set(deadlines_, deadlines_.now() + kSilence + (revision_ > 0 ? kWait : 0),
+    patience_.set(deadlines_, deadlines_.now() + kSilence + (revision_ ? kWait : 0),
                   [this] { failed("no answer in time"); });
     if (connection_) return write_call();
     up_ = false;
@@ -58,8 +58,8 @@
 
 void Watch::write_call() {
     std::string call = "GET /registry/instances";
-    if (revision_ > 0)
-        call += "?after=" + std::to_string(revision_) + "&wait_ms=" + std::to_string(kWait / 1000);
+    if (revision_)
+        call += "?after=" + std::to_string(*revision_) + "&wait_ms=" + std::to_string(kWait / 1000);
     connection_->write(call + " HTTP/1.1\r\nHost: " + host_ + "\r\nAccept: application/json\r\n\r\n");
 }
 
@@ -77,7 +77,7 @@
     const auto response = std::move(*response_);
     response_.reset();
     if (response.status() != 200) return failed("status " + std::to_string(response.status()));
-    auto list = lists_.read(response.body());
+    auto list = lists_.read(response.body(), revision_);
     revision_ = list.revision;
     if (!response.keeps_open()) connection_.reset();
     reader_.listed(list.complete ? nettletrestle::ListKind::complete : nettletrestle::ListKind::changes,
--- a/tests/net/scenario.cpp
+++ b/tests/net/scenario.cpp
@@ -141,7 +141,7 @@
                  {"at_start", "127.0.0.1:" + std::to_string(port)},
                  {"seed", "7"},
                  {"limits", {{"sockets", setup.sockets}, {"memory_mb", 48}}},
-                 {"known", {{"revision", 1}, {"complete", true}, {"members", members}}},
+                 {"known", {{"revision", setup.revision}, {"complete", true}, {"members", members}}},
                  {"settings", settings}};
         if (setup.passed) {
             passed_ = listening_socket(port);
--- a/tests/net/scenario.h
+++ b/tests/net/scenario.h
@@ -42,6 +42,7 @@
     int sockets = 1024;
     bool passed = false;  // the clients' socket is the platform's
     bool known = true;    // the members are known from the start
+    int revision = 1;     // of the list known then
 };
 
 // Ends the process with a message where the scenario does not go as written.
--- a/tests/net/scenarios.cpp
+++ b/tests/net/scenarios.cpp
@@ -407,6 +407,27 @@
         d.1 expect call:after=2
         a send startup empty
         a expect up ready empty ready)");
+    Setup first;
+    first.revision = 0;
+    // 0 is a revision like any other. Guards against whole lists asked for one after the other, without a
+    // wait.
+    play("a list known of revision 0 is watched from there", first, R"(
+        d.1 expect call:after=0
+        d.1 send list:0:full:m1=in_service
+        d.1 expect call:after=0
+        d.1 send list:1:changes:m1=in_service
+        d.1 expect call:after=1)");
+    // An answer from before what is known could bring back who has gone, and take away who has come.
+    play("a list older than the one held is a failure and changes nothing", {}, R"(
+        d.1 expect call:after=1
+        d.1 send list:5:changes:
+        d.1 expect call:after=5
+        d.1 send list:4:full:
+        d.1 expect end
+        d.2 expect call:after=5
+        a send startup read:1
+        a expect up ready
+        m1.1 expect startup)");
     play("an answer that is no list is a failure", {}, R"(
         d.1 expect call:after=1
         d.1 send hex:485454502f312e3120323030204f4b0d0a436f6e74656e742d4c656e6774683a20330d0a0d0a7b7d7d
