Judge thin evidence by its samples, share out first probes, keep a cold primary for writes

A router of 100 sees one read a class and group in its window, so one late answer refused half of what came next; a rate that had just begun was stretched from 0.3 s to the whole window on top of that.

Lines: admit_read (kServedPrior), on(Arrival) and upkeep (probe_all), choose_for_read. Evidence counts in samples now, against a prior that grows with the routers; first probes of a member are a share of a budget for all routers where servers check reads; in a large fleet a lost primary is probed for by those who wait; reads leave a cold primary alone.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -40,9 +40,10 @@
 constexpr double kWaitLeast = 10;             // writes that may wait in any case: little was seen yet
 constexpr Micros kServedWindow = 3'000'000;   // us; reads served in time and reads offered look back this far
 constexpr double kServedMost = 1.25;          // x the reads served in time: what is admitted, room to grow
-constexpr double kServedPrior = 1;            // reads taken to be served: a verdict needs more than that
-constexpr double kServedLeast = 0.2;  // of the reads offered are admitted in any case: else no evidence
-constexpr double kHoldShare = 0.25;   // of the aim: how long a read may wait for room
+constexpr double kServedPrior = 1;            // reads taken to be served: a verdict needs more than that ...
+constexpr double kServedPriorShare = 0.08;  // ... and for each router: the fewer it sees, the more is chance
+constexpr double kServedLeast = 0.2;        // of the reads offered are admitted in any case: else no evidence
+constexpr double kHoldShare = 0.25;         // of the aim: how long a read may wait for room
 constexpr double kCrowded = 0.5;      // of the aim: any-reads expected to take longer go to the next member
 constexpr double kLongRead = 2.5;     // x the shortest usual latency: any-reads that long are kept apart
 constexpr double kSlowerStep = 0.15;  // smoothing of a server's slowness upwards: trouble is believed soon
@@ -68,6 +69,7 @@
 constexpr Micros kRoleStale = 500'000;    // us; a replica's role may have changed after this
 constexpr Micros kProbeEvery = 250'000;   // us; between probes of a group whose primary is lost ...
 constexpr Micros kProbeShare = 60'000;    // us; ... and for each router: a herd probes no more than a few
+constexpr double kFirstProbes = 6;        // of a member, by all routers together, as they first use its group
 constexpr double kRetryShare = 0.2;       // of the aim; base advice: a try after it can be in time
 constexpr double kDrainSafe = 0.5;        // of the grace: a draining primary may still be used
 constexpr Micros kWatchRetry = 700'000;   // us; first wait after a failed call for the list
@@ -85,15 +87,15 @@
     explicit Rate(Micros window = kRateWindow) : window_(num(window)) {}
     void add(Time now, double amount) {
         if (sum_ == 0) since_ = now - kYoungest;
-        sum_ = decayed(now) + amount;
+        sum_ = seen(now) + amount;
         at_ = now;
     }
     double per_second(Time now) const {
-        return decayed(now) * 1e6 / (window_ * (1 - std::exp(-num(now - since_) / window_)));
+        return seen(now) * 1e6 / (window_ * (1 - std::exp(-num(now - since_) / window_)));
     }
+    double seen(Time now) const { return sum_ == 0 ? 0 : sum_ * std::exp(-num(now - at_) / window_); }
 
 private:
-    double decayed(Time now) const { return sum_ == 0 ? 0 : sum_ * std::exp(-num(now - at_) / window_); }
     double window_, sum_ = 0;
     Time at_ = 0, since_ = 0;
 };
@@ -198,6 +200,9 @@
         }
         if (!target_) target_ = kNoBoundTarget;
         probe_every_ = std::max(kProbeEvery, set_.routers * kProbeShare);
+        // Where servers check reads, who has no position yet tries one: what probes tell is worth less there.
+        if (set_.position_check != PositionCheck::none)
+            first_probe_ = std::min(1.0, kFirstProbes / set_.routers);
     }
 
     void step(Time now, const std::vector<Event>& events, std::vector<Action>& actions) {
@@ -263,7 +268,7 @@
         deadlines_.emplace(a.not_after, a.request);
         retry_credit_ = std::min(kRetryMost, retry_credit_ + kRetryPerArrival);
         auto& g = group(a.group);
-        if (g.probed_at < 0 && set_.may_probe) probe_all(g);
+        if (g.probed_at < 0 && set_.may_probe) probe_all(g, first_probe_);
         const bool write = klass(r).need == Need::write;
         if (write) g.write_worth.add(now_, klass(r).worth);
         if (write && !admit_write(g)) return refuse(r, throttle_wait(g));
@@ -438,10 +443,15 @@
         }
         return g;
     }
-    void probe_all(Group& g) {
+    static bool awaited(const Group& g) {
+        return std::any_of(g.waiting.begin(), g.waiting.end(), [](const auto& q) { return !q.empty(); });
+    }
+    // Each member with that chance: of a budget for all routers each has a share, mostly less than one probe.
+    void probe_all(Group& g, double chance) {
         g.probed_at = now_;
         for (const auto id : g.members)
-            if (servers_[id].told_at < 0) actions_->emplace_back(Probe{id});
+            if (servers_[id].told_at < 0 && (chance >= 1 || unit() < chance))
+                actions_->emplace_back(Probe{id});
     }
 
     // ---- lag record ----
@@ -589,9 +599,9 @@
     // Limits by work in flight say nothing where each of many routers has a request or two out. Guards
     // against overload of any cause and jams of late answers; could refuse reads after an outage is over.
     bool admit_read(Group& g, const Request& r) {
-        const double span = num(kServedWindow) / 1e6;
-        const double served = kServedMost * g.reads_served[index(r)].per_second(now_) * span + kServedPrior;
-        const double offered = g.reads_offered[index(r)].per_second(now_) * span + kServedPrior;
+        const double prior = std::max(kServedPrior, kServedPriorShare * set_.routers);
+        const double served = kServedMost * g.reads_served[index(r)].seen(now_) + prior;
+        const double offered = g.reads_offered[index(r)].seen(now_) + prior;
         if (unit() < std::max(kServedLeast, served / offered)) return true;
         g.reads_offered[index(r)].add(now_, 1);
         return false;
@@ -762,7 +772,7 @@
             }
             const bool crowded = s.slowness * usual(r) >= kCrowded * num(klass(r).aim_us);
             const bool is_primary = g.primary == id, spared = is_primary && klass(r).need != Need::fresh;
-            if ((spared && crowded) || !room(s, r, spared ? kPrimaryReadRoom : 1)) continue;
+            if ((spared && (crowded || is_cold(s))) || !room(s, r, spared ? kPrimaryReadRoom : 1)) continue;
             if (apart && !is_primary) {
                 if (!crowded) return &s;
                 if (!least_slow || s.slowness < least_slow->slowness) least_slow = &s;
@@ -846,8 +856,9 @@
         for (auto& [id, g] : groups_) {
             renew_throttle(g);
             if (now_ - g.rated_at > kRateEvery) rate_members(g);
-            if (!g.primary && g.probed_at >= 0 && set_.probes_report && now_ - g.probed_at > probe_every_)
-                probe_all(g);
+            if (!g.primary && g.probed_at >= 0 && set_.probes_report && now_ - g.probed_at > probe_every_ &&
+                (probe_every_ == kProbeEvery || awaited(g)))
+                probe_all(g, 1);
         }
         while (!deadlines_.empty() && deadlines_.top().first <= now_ + 2 * kTick) {
             const auto [at, id] = deadlines_.top();
@@ -863,7 +874,7 @@
     Micros target_ = 0, watch_wait_ = kWatchRetry, probe_every_ = kProbeEvery;
     Time now_ = 0, forgot_at_ = 0;
     bool started_ = false;
-    double retry_credit_ = kRetryMost / 4;
+    double retry_credit_ = kRetryMost / 4, first_probe_ = 1;
     std::vector<Action>* actions_ = nullptr;
     std::vector<double> usual_;  // us; usual latency of each class
     std::map<ServerId, Server> servers_;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -795,6 +795,103 @@
     EXPECT_GE(probes_in_half_a_second(4), 3);
 }
 
+// ---- what many routers do together: each alone is within any limit, the sum is what a member bears ----
+Settings fleet_of(int routers) {
+    auto s = base();
+    s.routers = routers;
+    s.position_check = PositionCheck::wait;
+    s.may_probe = s.probes_report = true;
+    return s;
+}
+
+// 6,000 probes of 100 routers at 60 members cost more than all that they told was worth.
+TEST(Fleet, FirstProbesAreAShareOfABudget) {
+    const auto probes_of = [](int routers) {
+        int count = 0;
+        for (int i = 0; i < routers; ++i) {
+            Bench b(fleet_of(routers), 5, static_cast<std::uint64_t>(i) + 1);
+            b.arrive(1, kAny);
+            b.step();
+            for (const auto& a : b.actions) count += std::holds_alternative<Probe>(a);
+        }
+        return count;
+    };
+    EXPECT_EQ(probes_of(3), 15);
+    const int many = probes_of(100);
+    EXPECT_GT(many, 10);
+    EXPECT_LT(many, 50);
+}
+
+// A group that lost its primary is probed for those who wait in it: at most routers nobody does.
+TEST(Fleet, AGroupInWhichNobodyWaitsIsNotProbed) {
+    Bench b(fleet_of(8), 3);
+    b.settle(1);
+    b.arrive(1, kAny);
+    b.step();
+    b.ok(1, b.sent_to(1).value_or(1), Role::unknown, 0);
+    b.tell(ListKind::changes, {Bench::entry(1, ServerState::gone)});
+    b.step();
+    int probes = 0;
+    const auto pass = [&] {
+        for (int i = 0; i < 200; ++i) {
+            b.tick();
+            for (const auto& a : b.actions) probes += std::holds_alternative<Probe>(a);
+        }
+    };
+    pass();
+    EXPECT_EQ(probes, 0);
+    for (RequestId id = 2; id < 10; ++id) b.arrive(id, kWrite);
+    pass();
+    EXPECT_GT(probes, 0);
+}
+
+// One late read in a group that a router hardly meets is chance; many are a verdict.
+TEST(Fleet, ThinEvidenceRefusesFewReads) {
+    const auto refused_after = [](int late) {
+        int refused = 0;
+        for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+            Bench b(fleet_of(100), 5, seed);
+            b.settle(1, 5);
+            for (RequestId id = 1; id <= static_cast<RequestId>(late); ++id) {
+                b.arrive(id, kAny);
+                b.step();
+                const auto to = b.sent_to(id);
+                b.now += 250'000;
+                if (to) b.ok(id, *to, Role::replica, b.now);
+                b.step();
+            }
+            b.arrive(1000, kAny);
+            b.step();
+            refused += b.find<Refuse>(1000) != nullptr;
+        }
+        return refused;
+    };
+    EXPECT_LT(refused_after(1), 25);
+    EXPECT_GT(refused_after(12), 25);
+}
+
+// Reads have other members; writes have only the primary, and all routers' writes its budget while it is
+// cold.
+TEST(Cold, APrimarysBudgetIsLeftToWrites) {
+    Bench b(base());
+    b.settle(1);
+    auto started = Bench::entry(1);
+    started.started_at = b.now;
+    b.tell(ListKind::changes, {started});
+    b.step();
+    int reads = 0, writes = 0;
+    for (RequestId id = 1; id <= 200; ++id) {
+        b.arrive(id, id % 4 ? kAny : kWrite);
+        b.step(5'000);
+        const auto to = b.sent_to(id);
+        if (!to) continue;
+        (id % 4 ? reads : writes) += *to == 1;
+        b.ok(id, *to, *to == 1 ? Role::primary : Role::replica, b.now - (*to == 1 ? 0 : 1000));
+    }
+    EXPECT_EQ(reads, 0);
+    EXPECT_GT(writes, 0);
+}
+
 // What operators read of it: members left out by the router's choice, not those that have to be left out.
 TEST(Health, TellsHowManyItAvoids) {
     Bench b(base());
