Believe a zone silent by evidence summed over its members, and count refusals by cause

A proxy meets a member once in 5 to 11 s, and three broken connections or ten usual latencies of silence were asked of each member by itself, so that the cut was over before most proxies had believed it of one member. Lines to blame: Router::silent and settle (per member only), eject (loses the primary), Server::slowness (a step a sample, whatever its age; 53300 no sample at all).

Change: route/health, pure, sums what is unanswered over a zone; the module leaves a silent zone alone, copies the reads that wait there, keeps its primaries for when it is back, and probes one of its members, all proxies together once in 3 ms. A verdict on one member needs two attempts in vain. Slowness ages over 4 s, and 53300 is a slow answer. Refusals and failures carry a cause, counted by class with the attempts' outcomes at the operators' door and in the log.

--- a/include/nettletrestle/router.h
+++ b/include/nettletrestle/router.h
@@ -2,6 +2,7 @@
 // All times are microseconds on the caller's clock; names ending in _us are durations in microseconds.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -91,7 +92,9 @@
     bool repeat = false;
 };
 enum class Outcome { ok, error, full, timeout, connect_failed, reset, cancelled, moot, miss };
-struct Standing {  // what an answer or report says of a server
+constexpr std::size_t kOutcomes = static_cast<std::size_t>(Outcome::miss) + 1;
+const char* name(Outcome outcome);  // as operators read it
+struct Standing {                   // what an answer or report says of a server
     Role role = Role::unknown;
     std::optional<Time> position;  // all commits up to this time are applied
 };
@@ -133,12 +136,35 @@
     ServerId server = 0;
     Micros timeout_us = 0;
 };
+// Why the router gave a request up.
+enum class Cause {
+    unknown_class,
+    throttled,     // a write, by the design's throttle
+    not_admitted,  // a read, by the share of its class that is served in time
+    no_primary,    // a write, and none is known that takes it
+    // Where several of these hold, the last is told.
+    no_member,       // none is listed that it may use, or only the one it has just tried
+    avoided,         // taken for dead
+    cold,            // the budget of a cold member is spent
+    no_room,         // the member has as much as this router may give it
+    not_new_enough,  // there is room, but no data known to be as new as the class asks for
+    // After an attempt.
+    out_of_time,     // its time was over
+    may_not_repeat,  // the attempt may have run, or no more are allowed
+    retry_budget,    // no further attempt was earned
+    failing,         // a second member answered with an error
+};
+constexpr std::size_t kCauses = static_cast<std::size_t>(Cause::failing) + 1;
+const char* name(Cause cause);  // as operators read it
+
 struct Refuse {
     RequestId request = 0;
     Micros retry_after_us = 0;
+    Cause cause = Cause::unknown_class;
 };
 struct Fail {
     RequestId request = 0;
+    Cause cause = Cause::unknown_class;
 };
 struct Cancel {
     RequestId request = 0;
--- a/src/app/server/server.cpp
+++ b/src/app/server/server.cpp
@@ -81,7 +81,7 @@
       ledger_(net::bytes_for_clients(config.memory_mb)),
       room_(net::bytes_for_clients(config.memory_mb)),
       numbers_(config.settings.class_names),
-      proxy_(deadlines_, module_settings(config.settings.router), config.seed),
+      proxy_(deadlines_, module_settings(config.settings.router), config.seed, numbers_),
       pool_(loop_, deadlines_, members_, pool_settings(loop_, config.settings), proxy_, numbers_),
       lists_(config.settings.zone_names),
       known_(known_list(lists_, config.known)),
@@ -193,6 +193,12 @@
                                 std::to_string(lists_.names()) + " names, " +
                                 std::to_string(deadlines_.size()) + " deadlines, " +
                                 std::to_string(ledger_.held()) + " bytes");
+    // Where there is no door, the log tells the figures; added up over all proxies they show where requests
+    // go.
+    if (numbers_.counted() != told_) {
+        told_ = numbers_.counted();
+        log::line("figures", figures());
+    }
     report_.set(deadlines_, deadlines_.now() + kReportEvery, [this] { report(); });
 }
 
--- a/src/app/server/server.h
+++ b/src/app/server/server.h
@@ -72,6 +72,7 @@
     std::unique_ptr<control::Door> control_;
     std::unique_ptr<succession::Succession> succession_;
     Deadline report_;
+    std::uint64_t told_ = 0;  // how much had been counted when the log last told the figures
 };
 
 }  // namespace sloestack::server
--- a/src/base/numbers/numbers.cpp
+++ b/src/base/numbers/numbers.cpp
@@ -4,6 +4,17 @@
 #include <utility>
 
 namespace sloestack::numbers {
+namespace {
+
+// Every name from the start: a reader need not know which may come later.
+template <class What, std::size_t N>
+nlohmann::json by_name(const std::array<std::uint64_t, N>& counts) {
+    auto out = nlohmann::json::object();
+    for (std::size_t i = 0; i < N; ++i) out[nettletrestle::name(static_cast<What>(i))] = counts[i];
+    return out;
+}
+
+}  // namespace
 
 Numbers::Numbers(std::vector<std::string> class_names) {
     for (auto& name : class_names) classes_.emplace_back().name = std::move(name);
@@ -15,15 +26,23 @@
 }
 
 void Numbers::answered(int klass, What what) {
-    if (auto* c = find(klass)) ++c->answers[what];
+    if (auto* c = find(klass)) count(c->answers[what]);
 }
 
 void Numbers::tried(int klass) {
-    if (auto* c = find(klass)) ++c->tries;
+    if (auto* c = find(klass)) count(c->tries);
+}
+
+void Numbers::given_up(int klass, nettletrestle::Cause cause) {
+    if (auto* c = find(klass)) count(c->causes[static_cast<std::size_t>(cause)]);
+}
+
+void Numbers::ended(int klass, nettletrestle::Outcome outcome) {
+    if (auto* c = find(klass)) count(c->outcomes[static_cast<std::size_t>(outcome)]);
 }
 
 std::string Numbers::json(const State& state) const {
-    auto responses = nlohmann::json::object();
+    auto responses = nlohmann::json::object(), reasons = responses, results = responses;
     std::uint64_t tries = 0;
     for (const auto& c : classes_) {
         responses[c.name] = {{"ok", c.answers[ok]},
@@ -31,8 +50,12 @@
                              {"errors", c.answers[errors]},
                              {"tries", c.tries}};
         tries += c.tries;
+        reasons[c.name] = by_name<nettletrestle::Cause>(c.causes);
+        results[c.name] = by_name<nettletrestle::Outcome>(c.outcomes);
     }
     return nlohmann::json{{"responses", responses},
+                          {"reasons", reasons},
+                          {"results", results},
                           {"tries", tries},
                           {"active", state.active},
                           {"pool_size", state.pool_size},
--- a/src/base/numbers/numbers.h
+++ b/src/base/numbers/numbers.h
@@ -1,11 +1,15 @@
 // The figures that operators read. Counted once each, where the thing happens: answers where the client gets
-// them, tries where an attempt's last byte has been written.
+// them, tries where an attempt's last byte has been written, causes where the decision module gives a request
+// up, and outcomes where an attempt ends.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <vector>
 
+#include "nettletrestle/router.h"
+
 namespace sloestack::numbers {
 
 // What is so now and is not counted up.
@@ -24,15 +28,22 @@
     // A class is its place among the names; one that is unknown (-1) is not counted.
     void answered(int klass, What what);
     void tried(int klass);
+    void given_up(int klass, nettletrestle::Cause cause);
+    void ended(int klass, nettletrestle::Outcome outcome);
+    std::uint64_t counted() const { return counted_; }  // all of these together
     std::string json(const State& state) const;
 
 private:
     struct Class {
         std::string name;
         std::uint64_t answers[3] = {}, tries = 0;
+        std::array<std::uint64_t, nettletrestle::kCauses> causes = {};
+        std::array<std::uint64_t, nettletrestle::kOutcomes> outcomes = {};
     };
     Class* find(int klass);
+    void count(std::uint64_t& what) { ++what, ++counted_; }
     std::vector<Class> classes_;
+    std::uint64_t counted_ = 0;
 };
 
 }  // namespace sloestack::numbers
--- a/src/core/proxy/proxy.cpp
+++ b/src/core/proxy/proxy.cpp
@@ -17,8 +17,9 @@
 
 }  // namespace
 
-Proxy::Proxy(Deadlines& deadlines, const module::Settings& settings, std::uint64_t seed)
-    : deadlines_(deadlines), router_(settings, seed) {}
+Proxy::Proxy(Deadlines& deadlines, const module::Settings& settings, std::uint64_t seed,
+             numbers::Numbers& numbers)
+    : deadlines_(deadlines), numbers_(numbers), router_(settings, seed) {}
 
 void Proxy::attach(Hands hands) { hands_.emplace(std::move(hands)); }
 
@@ -89,6 +90,7 @@
     SLOESTACK_INVARIANT(value.has_value() == (end.outcome == Outcome::ok), "served means a value");
     const auto found = open_.find(end.request);
     const int started = found == open_.end() ? -1 : found->second.started;
+    if (found != open_.end()) numbers_.ended(found->second.klass, end.outcome);
     // The first answer goes to the client as it is and ends the request, without asking the module.
     if (started >= 0 ? started == end.attempt : value.has_value())
         if (auto* asker = close(end.request)) {
@@ -162,12 +164,18 @@
     hands_->members.send(attempt);
 }
 
+traffic::Asker* Proxy::give_up(traffic::RequestId request, module::Cause cause) {
+    auto* asker = close(request);
+    if (asker) numbers_.given_up(open_.at(request).klass, cause);
+    return asker;
+}
+
 void Proxy::act(const module::Refuse& a) {
-    if (auto* asker = close(a.request)) asker->refused(a.retry_after_us);
+    if (auto* asker = give_up(a.request, a.cause)) asker->refused(a.retry_after_us);
 }
 
 void Proxy::act(const module::Fail& a) {
-    if (auto* asker = close(a.request)) asker->failed();
+    if (auto* asker = give_up(a.request, a.cause)) asker->failed();
 }
 
 void Proxy::act(const module::Cancel& a) { hands_->members.cancel(a.request, a.attempt); }
--- a/src/core/proxy/proxy.h
+++ b/src/core/proxy/proxy.h
@@ -10,6 +10,7 @@
 
 #include "deadlines/deadlines.h"
 #include "nettletrestle/router.h"
+#include "numbers/numbers.h"
 #include "traffic/traffic.h"
 
 namespace sloestack::proxy {
@@ -23,7 +24,8 @@
 
 class Proxy final : public traffic::Desk, public traffic::Results, public traffic::ListReader {
 public:
-    Proxy(Deadlines& deadlines, const nettletrestle::Settings& settings, std::uint64_t seed);
+    Proxy(Deadlines& deadlines, const nettletrestle::Settings& settings, std::uint64_t seed,
+          numbers::Numbers& numbers);
 
     void attach(Hands hands);
     // Sweeps the deadlines and lets the module decide until nothing new has happened.
@@ -68,9 +70,12 @@
     void act(const nettletrestle::Log& a);
     // Takes the request's asker, who is answered next; nothing where that has happened.
     traffic::Asker* close(traffic::RequestId request);
+    // The same, for a request that the module gives up.
+    traffic::Asker* give_up(traffic::RequestId request, nettletrestle::Cause cause);
     void overdue(traffic::RequestId request);
 
     Deadlines& deadlines_;
+    numbers::Numbers& numbers_;
     nettletrestle::Router router_;
     std::optional<Hands> hands_;
     std::vector<nettletrestle::Event> events_, stepping_;
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -1,7 +1,7 @@
 // All decisions of the router. Interface: include/nettletrestle/router.h
 //
-// Map: constants - small tools - state - step and events - answers (the only ways out) - list -
-//      lag record - write throttle - primary - cold starts - health - choosing a server - waiting - upkeep
+// Map: constants - small tools - state - step and events - answers (the only ways out) - list - lag record -
+//      write throttle - primary - cold starts - health (of zones: route/health) - choosing - waiting - upkeep
 // A departure from the design is marked "Departure" where it acts.
 #include <algorithm>
 #include <cmath>
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "health/health.h"
 #include "nettletrestle/router.h"
 
 namespace nettletrestle {
@@ -48,6 +49,7 @@
 constexpr double kLongRead = 2.5;     // x the shortest usual latency: any-reads that long are kept apart
 constexpr double kSlowerStep = 0.15;  // smoothing of a server's slowness upwards: trouble is believed soon
 constexpr double kFasterStep = 0.08;  // and downwards
+constexpr double kNewsMost = 0.5;     // most of a server's slowness that one answer may be
 constexpr double kSlowLeast = 0.2, kSlowMost = 10;  // x usual: bounds of slowness, against single answers
 constexpr double kDrawPower = 2;                    // sharpness of the draw by latency x in flight
 constexpr double kSilenceFactor = 4;                // x expected latency without any answer: taken for hung
@@ -66,6 +68,7 @@
 constexpr double kRetryMost = 80;         // further attempts saved up: one hung server's load
 constexpr Micros kSearchEvery = 20'000;   // us; between writes sent out to find the primary ...
 constexpr Micros kSearchShare = 1'000;    // us; ... and for each router: declined writes are load too
+constexpr Micros kSearchSpared = 5;       // x; where one is known, but in a silent zone
 constexpr Micros kRoleStale = 500'000;    // us; a replica's role may have changed after this
 constexpr Micros kProbeEvery = 250'000;   // us; between probes of a group whose primary is lost ...
 constexpr Micros kProbeShare = 60'000;    // us; ... and for each router: a herd probes no more than a few
@@ -150,9 +153,9 @@
     double out_work = 0;        // seconds of usual service in flight
     double slowness = 1;        // smoothed latency over the usual of its class
     Rate carried{kLongWindow};  // seconds of usual service done per second
-    Time answered_at = -1;
+    Time answered_at = -1, judged_at = 0;
     bool ejected = false;
-    int cuts = 0;  // connections broken or not made since the last answer
+    int cuts = 0, unheard = 0;  // since the last answer: connections broken or not made, attempts in vain
     Time ejected_at = 0, trial_at = 0;
     Micros trial_wait = kTrialFirst;
     Time cold_since = -1, cold_at = -1;
@@ -167,8 +170,9 @@
     Time arrived, required = 0, hold_until = 0;
     std::vector<Attempt> attempts = {};
     int open = 0;
-    bool queued = false, trial = false, wants_newer = false, erred = false;
-    Time first_risk = -1;  // sending of the first attempt that may have run
+    bool queued = false, trial = false, erred = false;
+    Cause blocked = Cause::no_member;  // why the last look found no member for it
+    Time first_risk = -1;              // sending of the first attempt that may have run
     int risk_zone = 0;
 };
 struct Group {
@@ -233,7 +237,11 @@
         return it == map.end() ? nullptr : &it->second;
     }
     Request* find_request(RequestId id) { return find(requests_, id); }
-    Server* primary(const Group& g) { return g.primary ? find(servers_, *g.primary) : nullptr; }
+    // None while its zone is silent: it may well be there still, and is used again as soon as it is heard.
+    Server* primary(const Group& g) {
+        auto* p = g.primary ? find(servers_, *g.primary) : nullptr;
+        return p && !zones_.silent(p->zone) ? p : nullptr;
+    }
 
     void check_settings() const {
         const auto want = [](bool ok, const char* key) {
@@ -260,7 +268,7 @@
     // ---- events ----
     void on(const Arrival& a) {
         if (a.klass < 0 || static_cast<std::size_t>(a.klass) >= set_.classes.size()) {
-            actions_->emplace_back(Refuse{a.request, 0});
+            actions_->emplace_back(Refuse{a.request, 0, Cause::unknown_class});
             return;
         }
         auto& r = requests_[a.request] = Request{a, now_};
@@ -271,8 +279,8 @@
         if (g.probed_at < 0 && set_.may_probe) probe_all(g, first_probe_);
         const bool write = klass(r).need == Need::write;
         if (write) g.write_worth.add(now_, klass(r).worth);
-        if (write && !admit_write(g)) return refuse(r, throttle_wait(g));
-        if (!write && !admit_read(g, r)) return give_up(r, 0);
+        if (write && !admit_write(g)) return refuse(r, throttle_wait(g), Cause::throttled);
+        if (!write && !admit_read(g, r)) return give_up(r, Cause::not_admitted);
         dispatch(r);
     }
 
@@ -296,15 +304,15 @@
             mark_write(r, e.standing.position.value_or(now_));
         }
         if (e.request_ended) return close(r, e.outcome == Outcome::ok ? e.attempt : -1);
-        if (now_ >= r.a.not_after) return give_up(r, 0);
+        if (now_ >= r.a.not_after) return give_up(r, Cause::out_of_time);
         if (r.open > 0) return;
-        if (!may_send_again(r)) return give_up(r, 0);
+        if (!may_send_again(r)) return give_up(r, Cause::may_not_repeat);
         // An error from a second server is the request's own: guards the retry budget and the servers against
         // requests that fail everywhere. Harm: where two servers fail for their own reasons the read is lost.
         if (e.outcome == Outcome::error && std::exchange(r.erred, true))
-            return give_up(r, set_.max_retry_after_us);
+            return give_up(r, Cause::failing, set_.max_retry_after_us);
         if (e.outcome != Outcome::miss) {
-            if (retry_credit_ < 1) return give_up(r, advice(r));
+            if (retry_credit_ < 1) return give_up(r, Cause::retry_budget, advice(r));
             retry_credit_ -= 1;
         }
         dispatch(r);
@@ -323,7 +331,10 @@
         actions_->emplace_back(SetTimer{kTick, kTickToken});
     }
     void on(const ProbeEnded& e) {
-        if (auto* s = find(servers_, e.server); s && e.outcome == Outcome::ok) learn(*s, e.reported);
+        auto* s = find(servers_, e.server);
+        if (!s || e.outcome != Outcome::ok) return;
+        if (zones_.silent(s->zone)) heard(*s);  // else an answer to a probe says little of how it serves
+        learn(*s, e.reported);
     }
 
     // ---- answers: every send, refusal and failure passes here and is checked against the rules ----
@@ -360,27 +371,27 @@
         const double work = work_of(r);
         if (klass(r).effect != Effect::safe && !risky(r)) r.first_risk = now_, r.risk_zone = s.zone;
         s.out[{r.a.request, static_cast<int>(r.attempts.size())}] =
-            Out{now_, usual(r) * std::max(1.0, s.slowness), work};
+            Out{now_, usual(r) * std::max({1.0, spread_, slowness(s)}), work};
         s.out_work += work;
         if (is_cold(s)) s.cold_credit -= work;
         r.attempts.push_back(Attempt{s.id});
-        ++r.open, r.queued = false;
+        ++r.open, r.queued = false, r.blocked = Cause::no_member;
         actions_->emplace_back(Send{r.a.request, s.id, cap});
         return true;
     }
-    void refuse(Request& r, Micros wait) {
+    void refuse(Request& r, Micros wait, Cause cause) {
         if (!set_.tells_retry_after) wait = 0;
         if (may_refuse(r))
-            actions_->emplace_back(Refuse{r.a.request, std::min(wait, set_.max_retry_after_us)});
+            actions_->emplace_back(Refuse{r.a.request, std::min(wait, set_.max_retry_after_us), cause});
         else
-            actions_->emplace_back(Fail{r.a.request});
+            actions_->emplace_back(Fail{r.a.request, cause});
         close(r, -1);
     }
     Micros advice(const Request& r) const { return us(kRetryShare * num(klass(r).aim_us)); }
-    void give_up(Request& r, Micros wait) {
-        if (r.wants_newer) group(r.a.group).short_worth.add(now_, klass(r).worth);
+    void give_up(Request& r, Cause cause, Micros wait = 0) {
+        if (r.blocked == Cause::not_new_enough) group(r.a.group).short_worth.add(now_, klass(r).worth);
         if (!wait) wait = us(num(advice(r)) * (0.5 + unit()));
-        refuse(r, wait);
+        refuse(r, wait, cause);
     }
     void close(Request& r, int answered) {
         judge_read(r, answered >= 0);
@@ -622,12 +633,14 @@
     }
     // With no primary known, now and then one write goes to a member that may be it; others decline.
     Server* search_primary(Group& g, const Request& r) {
-        if (now_ - g.searched_at < std::max(kSearchEvery, set_.routers * kSearchShare)) return nullptr;
+        const Micros every = std::max(kSearchEvery, set_.routers * kSearchShare);
+        if (now_ - g.searched_at < (g.primary ? kSearchSpared : 1) * every) return nullptr;
         Server* drawn = nullptr;
         int count = 0;
         for (const auto id : g.members) {
             auto& s = servers_[id];
-            if (s.ejected || (s.role == Role::replica && now_ - s.role_at < kRoleStale)) continue;
+            if (s.ejected || zones_.silent(s.zone)) continue;
+            if (s.role == Role::replica && now_ - s.role_at < kRoleStale) continue;
             if (!may_use(r, s) || !cold_room(s, work_of(r))) continue;
             if (unit() * ++count < 1) drawn = &s;
         }
@@ -685,8 +698,9 @@
         s.out_work = s.out.empty() ? 0 : s.out_work - out.work;
         const bool answered = e.outcome == Outcome::ok || e.outcome == Outcome::miss ||
                               e.outcome == Outcome::full || e.outcome == Outcome::error;
-        if (answered) s.answered_at = now_, s.cuts = 0;
-        if (answered && s.ejected) restore(s);
+        if (answered) heard(s);
+        if (e.outcome == Outcome::timeout || e.outcome == Outcome::connect_failed)
+            ++s.unheard, zones_.unanswered(now_, s.zone, s.id, num(e.latency_us), out.expected_us);
         if (e.outcome == Outcome::ok) s.carried.add(now_, out.work);
         // A time-out is a latency too: guards against members that answer a few well and lose the rest.
         const auto* r = find_request(e.request);
@@ -694,14 +708,65 @@
             auto& u = usual_[index(*r)];
             const double seen = num(e.latency_us) / u;
             u = std::min(u * (seen > 1 ? 1.01 : 0.99), kUsualMost * num(klass(*r).aim_us));
-            s.slowness +=
-                (seen > s.slowness ? kSlowerStep : kFasterStep) * (std::min(seen, kSlowMost) - s.slowness);
-            s.slowness = std::max(kSlowLeast, s.slowness);
+            judge_speed(s, seen);
+            if (answered) spread_ += kFasterStep * (std::min(seen, kSlowMost) - spread_);
         }
+        if (e.outcome == Outcome::full) judge_speed(s, kSlowMost);
         // Several in a row: a flaky network breaks single connections, and stale ones break when used again.
         const bool cut = e.outcome == Outcome::connect_failed || e.outcome == Outcome::reset;
         if (cut && !e.on_kept && ++s.cuts >= kCutsInARow) eject(s, true);
     }
+    // Where answers come seldom the last one is most of what is known, and what it said ages.
+    void judge_speed(Server& s, double seen) {
+        const double news = std::min(kNewsMost, 1 - std::exp(-num(now_ - s.judged_at) / kLongWindow));
+        const double was = slowness(s), step = std::max(seen > was ? kSlowerStep : kFasterStep, news);
+        s.slowness = std::max(kSlowLeast, was + step * (std::min(seen, kSlowMost) - was));
+        s.judged_at = now_;
+    }
+    double slowness(const Server& s) const {
+        return 1 + (s.slowness - 1) * std::exp(-num(now_ - s.judged_at) / kLongWindow);
+    }
+    void heard(Server& s) {
+        s.answered_at = now_, s.cuts = s.unheard = 0;
+        if (s.ejected) restore(s);
+        if (!zones_.answered(now_, s.zone)) return;
+        log("zone back: server ", s);
+        for (auto& [id, other] : servers_)
+            if (other.zone == s.zone) other.trial_at = now_;
+    }
+    // Its members are used again as soon as one of them answers a probe; without probes none is left out.
+    void judge_zones() {
+        if (!set_.may_probe) return;
+        std::vector<route::ZoneHealth::Waiting> waiting;
+        for (const auto& [id, s] : servers_)
+            for (const auto& [key, out] : s.out)
+                waiting.push_back({s.zone, id, out.sent_at, out.expected_us});
+        for (const int zone : zones_.judge(now_, waiting)) {
+            actions_->emplace_back(Log{"zone silent: " + std::to_string(zone)});
+            copy_from(zone);
+        }
+        for (const int zone : zones_.trials(now_, set_.routers, unit())) {
+            Server* drawn = nullptr;
+            int count = 0;
+            for (auto& [id, s] : servers_)
+                if (s.zone == zone && s.told_at < 0 && unit() * ++count < 1) drawn = &s;
+            if (drawn) actions_->emplace_back(Probe{drawn->id});
+        }
+    }
+    // Reads that wait in a zone fallen silent get a copy elsewhere, paid for like any further try.
+    void copy_from(int zone) {
+        std::vector<RequestId> waiting;
+        for (const auto& [id, r] : requests_)
+            if (r.open == 1 && klass(r).effect == Effect::safe &&
+                servers_[r.attempts.back().server].zone == zone)
+                waiting.push_back(id);
+        std::sort(waiting.begin(), waiting.end());
+        for (const auto id : waiting) {
+            auto& r = requests_.at(id);
+            if (retry_credit_ < 1) return;
+            if (auto* s = choose(r); s && send(r, *s, 0)) retry_credit_ -= 1;
+        }
+    }
     void eject(Server& s, bool cut) {
         if (s.ejected) return;
         s.ejected = true, s.ejected_at = now_;
@@ -712,7 +777,7 @@
     void restore(Server& s) {
         log("server back: ", s);
         if (now_ - s.ejected_at > kShortAbsence) make_cold(s, now_);
-        s.ejected = false, s.slowness = 1;
+        s.ejected = false, s.slowness = 1, s.judged_at = now_;
     }
     // How unlikely its silence is: the sum, over all it holds, of the time unanswered over the expected one.
     // Guards against verdicts on one slow request; slower to find a hung server that holds just one.
@@ -724,7 +789,8 @@
             longest = std::max(longest, unanswered);
             expected = std::min(expected, out.expected_us);
         }
-        return evidence > kSilenceEvidence &&
+        // One alone may wait behind others' work, of which a router that sends it little knows nothing.
+        return evidence > kSilenceEvidence && s.out.size() + static_cast<std::size_t>(s.unheard) > 1 &&
                longest > std::max<double>(kMinSilence, kSilenceFactor * expected);
     }
 
@@ -737,7 +803,7 @@
         return s.out_work + work <= most * share && cold_room(s, work);
     }
     double weight(const Server& s, const Request& r, bool is_primary) const {
-        double w = 1 / std::pow(s.slowness * (s.out_work + work_of(r)) / warm_share(s), kDrawPower);
+        double w = 1 / std::pow(slowness(s) * (s.out_work + work_of(r)) / warm_share(s), kDrawPower);
         if (is_primary) w *= kPrimaryReadWeight;
         if (set_.cross_zone_charge > 0 && s.zone != set_.zone) w *= 0.5;
         return w;
@@ -746,8 +812,11 @@
         auto& g = group(r.a.group);
         auto* p = primary(g);
         if (klass(r).need == Need::write) {
+            r.blocked = Cause::no_primary;
             if (!p) return search_primary(g, r);
-            return may_use(r, *p) && room(*p, r, 1) ? p : nullptr;
+            if (!may_use(r, *p)) return nullptr;
+            if (room(*p, r, 1)) return p;
+            return r.blocked = is_cold(*p) ? Cause::cold : Cause::no_room, nullptr;
         }
         if (klass(r).need == Need::fresh && p && !p->ejected && may_use(r, *p) && room(*p, r, 1)) return p;
         return choose_for_read(g, r);
@@ -755,35 +824,42 @@
     Server* choose_for_read(Group& g, Request& r) {
         Server *drawn = nullptr, *least_slow = nullptr;
         double total = 0;
-        bool lagging = false;
+        r.blocked = Cause::no_member;
+        const auto blocked = [&r](Cause c) { r.blocked = std::max(r.blocked, c); };
         const bool apart = klass(r).need == Need::any &&
                            usual(r) > kLongRead * *std::min_element(usual_.begin(), usual_.end());
         for (const auto id : g.members) {
             auto& s = servers_[id];
             if (!may_use(r, s) || (!r.attempts.empty() && r.attempts.back().server == id)) continue;
             if (!meets(s, r)) {
-                lagging = lagging || (!s.ejected && room(s, r, 1));
+                if (!s.ejected) blocked(room(s, r, 1) ? Cause::not_new_enough : Cause::no_room);
+                continue;
+            }
+            if (zones_.silent(s.zone)) {
+                blocked(Cause::avoided);
                 continue;
             }
             if (s.ejected) {
+                blocked(Cause::avoided);
                 if (!cold_room(s, work_of(r)) || !trial_due(s, r)) continue;
                 r.trial = true;
                 return &s;
             }
-            const bool crowded = s.slowness * usual(r) >= kCrowded * num(klass(r).aim_us);
+            const bool crowded = slowness(s) * usual(r) >= kCrowded * num(klass(r).aim_us);
             const bool is_primary = g.primary == id, spared = is_primary && klass(r).need != Need::fresh;
-            if ((spared && (crowded || is_cold(s))) || !room(s, r, spared ? kPrimaryReadRoom : 1)) continue;
+            if ((spared && (crowded || is_cold(s))) || !room(s, r, spared ? kPrimaryReadRoom : 1)) {
+                blocked(is_cold(s) ? Cause::cold : Cause::no_room);
+                continue;
+            }
             if (apart && !is_primary) {
                 if (!crowded) return &s;
-                if (!least_slow || s.slowness < least_slow->slowness) least_slow = &s;
+                if (!least_slow || slowness(s) < slowness(*least_slow)) least_slow = &s;
             }
             const double w = weight(s, r, is_primary);
             total += w;
             if (unit() * total <= w) drawn = &s;
         }
-        if (least_slow) return least_slow;
-        r.wants_newer = !drawn && lagging;
-        return drawn;
+        return least_slow ? least_slow : drawn;
     }
     bool trial_due(Server& s, const Request& r) {
         if (now_ < s.trial_at || klass(r).effect != Effect::safe || !r.attempts.empty()) return false;
@@ -807,13 +883,13 @@
         const auto need = us(1.5 * usual(r));
         const auto patience = us(kHoldShare * num(klass(r).aim_us));
         r.hold_until = r.a.not_after - need;
-        if (!write || g.primary)
+        if (!write || primary(g))
             r.hold_until = std::min(r.hold_until, std::max(r.arrived, now_ - patience) + patience);
         // Writes wait for a primary only up to what it can clear in time, taken to be what a member carries.
         const double clears = g.member_rate * kClearShare * num(r.a.not_after - now_);
-        const bool overfull = write && !g.primary &&
+        const bool overfull = write && !primary(g) &&
                               num(g.waiting[index(r)].size()) * usual(r) > clears + kWaitLeast * usual(r);
-        if (r.hold_until <= now_ || overfull) return give_up(r, 0);
+        if (r.hold_until <= now_ || overfull) return give_up(r, r.blocked);
         r.queued = true;
         g.waiting[index(r)].push_back(r.a.request);
     }
@@ -828,7 +904,7 @@
             auto* found = find_request(queue[i]);
             bool gone = !found || !found->queued;
             if (!gone && now_ >= found->hold_until) {
-                give_up(*found, 0);
+                give_up(*found, found->blocked);
                 gone = true;
             } else if (!gone) {
                 auto* s = choose(*found);
@@ -853,6 +929,7 @@
     void upkeep() {
         for (auto& [id, s] : servers_)
             if (!s.ejected && silent(s)) eject(s, false);
+        judge_zones();
         for (auto& [id, g] : groups_) {
             renew_throttle(g);
             if (now_ - g.rated_at > kRateEvery) rate_members(g);
@@ -864,7 +941,7 @@
             const auto [at, id] = deadlines_.top();
             deadlines_.pop();
             auto* r = find_request(id);
-            if (r && r->open == 0) give_up(*r, 0);
+            if (r && r->open == 0) give_up(*r, r->queued ? r->blocked : Cause::out_of_time);
         }
         if (now_ - forgot_at_ > kRateWindow) forget_past();
     }
@@ -875,10 +952,12 @@
     Time now_ = 0, forgot_at_ = 0;
     bool started_ = false;
     double retry_credit_ = kRetryMost / 4, first_probe_ = 1;
+    double spread_ = 1;  // smoothed latency of those who answer, over the usual of their class
     std::vector<Action>* actions_ = nullptr;
     std::vector<double> usual_;  // us; usual latency of each class
     std::map<ServerId, Server> servers_;
     std::map<int, Group> groups_;
+    route::ZoneHealth zones_;
     std::unordered_map<RequestId, Request> requests_;
     std::map<std::pair<int, SessionId>, Time> marks_;
     using Deadline = std::pair<Time, RequestId>;
--- a/tests/parser_tests.cpp
+++ b/tests/parser_tests.cpp
@@ -213,10 +213,17 @@
     n.answered(1, numbers::Numbers::shed);
     n.answered(-1, numbers::Numbers::errors);
     n.tried(0), n.tried(0), n.tried(2);
+    n.given_up(1, nettletrestle::Cause::no_primary), n.given_up(2, nettletrestle::Cause::cold);
+    n.ended(0, nettletrestle::Outcome::timeout), n.ended(0, nettletrestle::Outcome::timeout);
     const auto read = json::parse(n.json({3, 2, 1}));
     CHECK(read["responses"]["view"]["ok"] == 1 && read["responses"]["view"]["errors"] == 0);
     CHECK(read["responses"]["change"]["shed"] == 1 && read["responses"]["change"]["tries"] == 0);
     CHECK(read["tries"] == 2 && read["active"] == 3 && read["pool_size"] == 2 && read["pool_ejected"] == 1);
+    CHECK(read["reasons"]["change"]["no_primary"] == 1 && read["reasons"]["view"]["no_primary"] == 0);
+    CHECK(read["reasons"]["view"].size() == nettletrestle::kCauses);
+    CHECK(read["results"]["view"]["timeout"] == 2 && read["results"]["change"]["ok"] == 0);
+    CHECK(read["results"]["view"].size() == nettletrestle::kOutcomes);
+    CHECK(n.counted() == 7);
 }
 
 members::Reply reply_to(const std::string& bytes, bool& whole) {
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -939,3 +939,151 @@
 }
 
 }  // namespace
+
+// Each way to be given up has a cause of its own, which operators add up over the fleet.
+TEST(Answer, TellsWhyARequestIsGivenUp) {
+    const auto cause = [](Bench& b, RequestId id) {
+        if (const auto* r = b.find<Refuse>(id)) return std::optional(r->cause);
+        if (const auto* f = b.find<Fail>(id)) return std::optional(f->cause);
+        return std::optional<Cause>();
+    };
+    const auto waits_for = [&](Bench& b, RequestId id) {
+        for (int i = 0; i < 300; ++i) {
+            if (const auto found = cause(b, id)) return found;
+            b.tick();
+        }
+        return std::optional<Cause>();
+    };
+    {
+        Bench b(base(), 0);
+        b.arrive(1, 99);
+        b.step();
+        EXPECT_EQ(cause(b, 1), Cause::unknown_class);
+        b.arrive(2, kAny);
+        b.step();
+        EXPECT_EQ(waits_for(b, 2), Cause::no_member);
+        b.arrive(3, kWrite);
+        b.step();
+        EXPECT_EQ(waits_for(b, 3), Cause::no_primary);
+    }
+    {  // A replica with room that is too old, and a primary that has none left for reads.
+        auto s = base();
+        s.position_check = PositionCheck::refuse;
+        Bench b(s, 2);
+        b.report(1, Role::primary, b.now);
+        b.report(2, Role::replica, b.now - 5'000'000);
+        b.step();
+        for (RequestId id = 1; id <= 40; ++id) b.arrive(id, kBounded);
+        b.step();
+        EXPECT_EQ(waits_for(b, 40), Cause::not_new_enough);
+    }
+    {
+        Bench b(base(), 1);
+        b.settle(1, 1);
+        for (RequestId id = 1; id <= 60; ++id) b.arrive(id, kWrite);
+        b.step();
+        EXPECT_EQ(waits_for(b, 60), Cause::no_room);
+        b.arrive(100, kWrite);
+        b.step();
+    }
+    {
+        Bench b(base(Effect::unsafe), 1);
+        b.settle(1, 1);
+        b.arrive(1, kWrite);
+        b.step();
+        b.end(1, 1, Outcome::reset, Role::unknown, 0);
+        b.step();
+        EXPECT_EQ(cause(b, 1), Cause::may_not_repeat);
+        b.arrive(2, kWrite);
+        b.step();
+        b.now += 1'000'000;
+        b.end(2, 1, Outcome::timeout, Role::unknown, 0);
+        b.step();
+        EXPECT_EQ(cause(b, 2), Cause::out_of_time);
+    }
+    {
+        Bench b(base(), 2);
+        b.settle(1, 2);
+        b.arrive(1, kAny);
+        b.step();
+        for (int i = 0; i < 2; ++i) {
+            const auto to = b.sent_to(1);
+            ASSERT_TRUE(to.has_value());
+            b.end(1, *to, Outcome::error, Role::unknown, 0);
+            b.step();
+        }
+        EXPECT_EQ(cause(b, 1), Cause::failing);
+    }
+}
+
+// A zone cut off: what waits there is copied elsewhere, nothing new goes there, its primary is kept and used
+// again as soon as one of the zone's members answers a probe.
+TEST(Zones, ASilentOneIsLeftAloneUntilAProbeIsAnswered) {
+    auto s = base();
+    s.routers = 300, s.may_probe = s.second_copies = true;
+    Bench b(s, 0);
+    std::vector<ServerEntry> list;
+    for (ServerId id = 1; id <= 40; ++id) {
+        list.push_back(Bench::entry(id));
+        list.back().zone = id % 2;  // those of odd numbers, the primary with them, fall silent
+    }
+    b.tell(ListKind::complete, list);
+    b.settle(1, 40);
+    RequestId id = 0;
+    std::map<RequestId, ServerId> out;
+    bool copied = false, kept = false, probed = false;
+    const auto look = [&] {
+        for (const auto& a : b.actions) {
+            if (const auto* x = std::get_if<Send>(&a)) {
+                copied = copied || (out.count(x->request) && x->server % 2 == 0);
+                out[x->request] = x->server;
+            }
+            if (const auto* x = std::get_if<Log>(&a)) kept = kept || x->text == "zone silent: 1";
+            if (const auto* x = std::get_if<Probe>(&a)) probed = probed || (kept && x->server % 2 == 1);
+        }
+        auto mine = std::move(out);
+        out.clear();
+        for (const auto& [request, server] : mine)
+            if (server % 2 == 0)
+                b.ok(request, server, Role::replica, b.now);
+            else
+                out[request] = server;
+    };
+    for (int i = 0; i < 400 && !kept; ++i) {
+        if (i % 4 == 0) b.arrive(++id, kAny);
+        b.tick(), look();
+    }
+    ASSERT_TRUE(kept);
+    EXPECT_TRUE(copied) << "a read that waited there was sent elsewhere too";
+    b.arrive(++id, kWrite);
+    const auto write = id;
+    for (int i = 0; i < 300; ++i) {
+        if (i % 4 == 0) b.arrive(++id, kAny);
+        b.tick();
+        for (const auto& a : b.actions) {
+            const auto* x = std::get_if<Send>(&a);
+            EXPECT_FALSE(x && x->server % 2 == 1) << "sent into a silent zone";
+        }
+        EXPECT_FALSE(i < 100 && b.find<Refuse>(write)) << "a write waits as for any lost primary";
+        look();
+    }
+    EXPECT_TRUE(probed);
+    b.report(3, Role::replica, b.now);
+    b.arrive(++id, kWrite);
+    b.step();
+    EXPECT_EQ(b.sent_to(id), std::optional<ServerId>(1));
+}
+
+// A hung member is found by two requests, not by one that may merely wait behind others' work.
+TEST(Health, ASingleUnansweredRequestIsNoVerdict) {
+    Bench b(base(), 1);
+    b.settle(1, 1);
+    b.arrive(1, kWrite);
+    b.step();
+    for (int i = 0; i < 190; ++i) b.tick();
+    EXPECT_EQ(b.router.avoided(), 0u);
+    b.arrive(2, kAny);
+    b.step();
+    for (int i = 0; i < 100; ++i) b.tick();
+    EXPECT_EQ(b.router.avoided(), 1u);
+}
