Use a subset of each group's members first where routers are many; errors count as slow

Change: route/subset, pure: weighted rendezvous hashing by the router's number and the member's id, so many members that some 150 routers use one first, all of them up to 150 routers; choose_for_read looks at the others where none will do.

--- a/include/nettletrestle/router.h
+++ b/include/nettletrestle/router.h
@@ -41,6 +41,7 @@
 struct Settings {
     std::vector<ClassSettings> classes;
     int routers = 1;  // routers that share the fleet
+    int rank = -1;    // this one's number among them, from 0; -1 where it is not told
     int zone = 0;
     bool list_on_request = false;   // the list must be asked for
     bool session_age_told = false;  // session reads carry the age of their last write
@@ -65,6 +66,8 @@
     double cross_zone_charge = 0;
 };
 
+void check(const Settings& settings);  // throws std::invalid_argument naming the setting that cannot be run
+
 // ---- events ----
 struct ServerEntry {
     ServerId server = 0;
--- a/src/core/settings/settings.cpp
+++ b/src/core/settings/settings.cpp
@@ -155,6 +155,7 @@
     read_classes(in, r);
     read_limits(in, r);
     r.routers = static_cast<int>(in.number("balancers", 1));
+    r.rank = static_cast<int>(in.number("rank", -1));
     r.zone = static_cast<int>(in.number("zone", 0));
     r.cross_zone_charge = in.number("charges.cross-zone", 0);
     if (in.find("discovery"))
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -9,12 +9,12 @@
 #include <map>
 #include <queue>
 #include <random>
-#include <stdexcept>
 #include <unordered_map>
 #include <utility>
 
 #include "health/health.h"
 #include "nettletrestle/router.h"
+#include "subset/subset.h"
 
 namespace nettletrestle {
 namespace {
@@ -142,8 +142,8 @@
 struct Server {
     ServerId id = 0;
     int group = 0, zone = 0;
-    bool draining = false;
-    Time told_at = -1;  // told draining or gone
+    bool draining = false, first = true;  // first: of those that this router uses before others
+    Time told_at = -1;                    // told draining or gone
     Role role = Role::unknown;
     Time role_at = -1;
     Time position = -1, heard_at = -1;  // the lag record: position and when it was learned ...
@@ -195,7 +195,8 @@
 class Router::Impl {
 public:
     Impl(Settings s, std::uint64_t seed) : set_(std::move(s)), random_(seed) {
-        check_settings();
+        check(set_);
+        key_ = set_.rank >= 0 ? static_cast<std::uint64_t>(set_.rank) : random_();
         usual_.reserve(set_.classes.size());
         for (const auto& c : set_.classes) {
             usual_.push_back(num(c.aim_us) / 5);
@@ -218,7 +219,9 @@
     }
 
     std::size_t avoided() const {
-        const auto is_so = [](const auto& s) { return s.second.ejected && s.second.told_at < 0; };
+        const auto is_so = [this](const auto& s) {
+            return (s.second.ejected || zones_.silent(s.second.zone)) && s.second.told_at < 0;
+        };
         return static_cast<std::size_t>(std::count_if(servers_.begin(), servers_.end(), is_so));
     }
 
@@ -243,22 +246,6 @@
         return p && !zones_.silent(p->zone) ? p : nullptr;
     }
 
-    void check_settings() const {
-        const auto want = [](bool ok, const char* key) {
-            if (!ok) throw std::invalid_argument(std::string(key) + ": absent or out of range");
-        };
-        want(!set_.classes.empty(), "classes");
-        for (const auto& c : set_.classes) {
-            want(c.aim_us > 0, "classes.aim");
-            want(c.deadline_us > 0, "classes.deadline");
-            want(c.need != Need::bounded || c.staleness_bound_us > 0, "classes.staleness-bound");
-            want(c.effect != Effect::keyed || c.repeat_window_us > 0, "classes.repeat-window");
-        }
-        want(set_.routers > 0, "routers");
-        want(set_.max_attempts > 0, "max-attempts");
-        want(set_.cold_share > 0 && set_.cold_share <= 1, "cold-share");
-    }
-
     void start() {
         started_ = true;
         actions_->emplace_back(SetTimer{kTick, kTickToken});
@@ -416,6 +403,14 @@
                                  [id = id](const ServerEntry& e) { return e.server == id; }))
                     told_gone(s);
         for (const auto& e : *l.entries) apply(e);
+        for (auto& [id, g] : groups_) draw_subset(g);
+    }
+    void draw_subset(Group& g) {
+        std::vector<route::Candidate> all;
+        for (const auto id : g.members)
+            if (servers_[id].told_at < 0) all.push_back({id, servers_[id].zone});
+        for (const auto id : g.members) servers_[id].first = false;
+        for (const auto id : route::subset(key_, set_.zone, all, set_.routers)) servers_[id].first = true;
     }
     void apply(const ServerEntry& e) {
         const bool known = servers_.count(e.server) > 0;
@@ -711,7 +706,7 @@
             judge_speed(s, seen);
             if (answered) spread_ += kFasterStep * (std::min(seen, kSlowMost) - spread_);
         }
-        if (e.outcome == Outcome::full) judge_speed(s, kSlowMost);
+        if (e.outcome == Outcome::full || e.outcome == Outcome::error) judge_speed(s, kSlowMost);
         // Several in a row: a flaky network breaks single connections, and stale ones break when used again.
         const bool cut = e.outcome == Outcome::connect_failed || e.outcome == Outcome::reset;
         if (cut && !e.on_kept && ++s.cuts >= kCutsInARow) eject(s, true);
@@ -828,8 +823,11 @@
         const auto blocked = [&r](Cause c) { r.blocked = std::max(r.blocked, c); };
         const bool apart = klass(r).need == Need::any &&
                            usual(r) > kLongRead * *std::min_element(usual_.begin(), usual_.end());
-        for (const auto id : g.members) {
+        for (std::size_t i = 0; i < 2 * g.members.size(); ++i) {
+            if (i == g.members.size() && (drawn || least_slow)) break;  // else all that are not of the subset
+            const auto id = g.members[i % g.members.size()];
             auto& s = servers_[id];
+            if (s.first != (i < g.members.size())) continue;
             if (!may_use(r, s) || (!r.attempts.empty() && r.attempts.back().server == id)) continue;
             if (!meets(s, r)) {
                 if (!s.ejected) blocked(room(s, r, 1) ? Cause::not_new_enough : Cause::no_room);
@@ -948,6 +946,7 @@
 
     Settings set_;
     std::mt19937_64 random_;
+    std::uint64_t key_ = 0;  // tells this router from the others
     Micros target_ = 0, watch_wait_ = kWatchRetry, probe_every_ = kProbeEvery;
     Time now_ = 0, forgot_at_ = 0;
     bool started_ = false;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -1087,3 +1087,69 @@
     for (int i = 0; i < 100; ++i) b.tick();
     EXPECT_EQ(b.router.avoided(), 1u);
 }
+
+// A router of 300 uses some of a group's members first: the others where none of those is new enough, and new
+// ones as soon as they replace those that leave.
+TEST(Zones, ASubsetIsWidenedWhereItWillNotDo) {
+    auto s = base();
+    s.routers = 300, s.rank = 17, s.position_check = PositionCheck::refuse;
+    Bench b(s, 0);
+    const auto list_of = [](ServerId from) {
+        std::vector<ServerEntry> list;
+        for (ServerId id = from; id < from + 6; ++id) list.push_back(Bench::entry(id));
+        return list;
+    };
+    b.tell(ListKind::complete, list_of(1));
+    b.step();
+    std::set<ServerId> first;
+    const auto reads = [&](RequestId from, int klass) {
+        std::set<ServerId> used;
+        for (RequestId id = from; id < from + 40; ++id) {
+            b.arrive(id, klass);
+            b.step(100'000);
+            const auto to = b.sent_to(id);
+            EXPECT_TRUE(to.has_value()) << id;
+            if (!to) continue;
+            used.insert(*to);
+            b.ok(id, *to, Role::replica, 0);
+        }
+        b.step();
+        return used;
+    };
+    first = reads(1, kAny);
+    EXPECT_EQ(first.size(), 3u);
+    for (const auto id : first) b.report(id, Role::replica, b.now - 5'000'000);
+    b.step();
+    const auto others = reads(100, kBounded);
+    EXPECT_EQ(others.size(), 3u);
+    for (const auto id : others) EXPECT_EQ(first.count(id), 0u);
+    b.tell(ListKind::complete, list_of(11));
+    b.step();
+    const auto fresh = reads(200, kAny);
+    EXPECT_EQ(fresh.size(), 3u);
+    EXPECT_GE(*fresh.begin(), 11u);
+}
+
+// A member that answers at once, but with errors, is no good member; nor is one that turns requests away.
+TEST(Health, ErrorsAndRefusalsCountAsSlowAnswers) {
+    for (const auto bad : {Outcome::error, Outcome::full}) {
+        auto s = base();
+        s.routers = 300, s.max_attempts = 1;
+        Bench b(s, 3);
+        b.settle(1);
+        int at_bad = 0, sent = 0;
+        for (RequestId id = 1; id <= 200; ++id) {
+            b.now += 1'000'000;
+            b.arrive(id, kAny);
+            b.step();
+            const auto to = b.sent_to(id);
+            if (!to) continue;  // turned away, as some are where others have failed
+            at_bad += *to == 2, ++sent;
+            b.end(id, *to, *to == 2 ? bad : Outcome::ok, Role::unknown, 0, *to != 2);
+            b.step();
+        }
+        EXPECT_GT(sent, 150);
+        EXPECT_LT(at_bad, sent / 5) << "far less than a third";
+        EXPECT_GT(at_bad, 2) << "but it is tried again";
+    }
+}
