Tell a router without a number from others by its seed, not by a draw of its own

The draw moved every later one: a scenario of the network tests whose first member is drawn then began with the other one (the connection it expected second was the first, given up after 250 ms).

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -196,7 +196,7 @@
 public:
     Impl(Settings s, std::uint64_t seed) : set_(std::move(s)), random_(seed) {
         check(set_);
-        key_ = set_.rank >= 0 ? static_cast<std::uint64_t>(set_.rank) : random_();
+        key_ = set_.rank >= 0 ? static_cast<std::uint64_t>(set_.rank) : seed;
         usual_.reserve(set_.classes.size());
         for (const auto& c : set_.classes) {
             usual_.push_back(num(c.aim_us) / 5);
