--- a/src/app/ctl/rehearse.cpp
+++ b/src/app/ctl/rehearse.cpp
@@ -72,10 +72,17 @@
     settings.to = rig.proxy();
     settings.checker = [&](const replay::Request& request, const conversation::Answered* answer) {
         if (request.id.empty()) return;
-        if (!answer) return rig.checker().asked(request.id);
-        if (answer->kind != conversation::Kind::none)
-            rig.checker().answered(request.id, answer->kind == conversation::Kind::served,
-                                   answer->digest.low);
+        standin::Event e;
+        e.what = answer ? standin::What::answered : standin::What::asked;
+        e.at = rig.deadlines().now();
+        e.id = request.id;
+        if (answer) {
+            e.word = answer->kind == conversation::Kind::served ? "served"
+                     : answer->kind == conversation::Kind::none ? "none"
+                                                                : "failed";
+            e.value = answer->digest.low;
+        }
+        rig.checker().saw(e);
     };
     replay::Replay run(rig.loop(), rig.deadlines(), settings, conversation::postgres(),
                        rig.deadlines().now() + kStartsIn, output.writer());
@@ -134,7 +141,9 @@
     load.length_us = static_cast<Micros>(seconds * 1e6);
     load.seed = (*parsed)["seed"].as<std::uint64_t>();
     load.groups = settings.fleet.banks;
-    standin::Load clients(rig.loop(), rig.deadlines(), rig.proxy(), load, rig.checker());
+    load.proxies = {rig.proxy()};
+    load.homes = {0};
+    standin::Load clients(rig.loop(), rig.deadlines(), load, rig.checker());
     std::signal(SIGINT, [](int) { interrupted = 1; });
     std::signal(SIGTERM, [](int) { interrupted = 1; });
     const bool quiet = parsed->count("json") > 0;
@@ -175,7 +184,7 @@
         if (broken.empty()) std::printf("no rule was broken\n");
         const auto colon = address.rfind(':');
         std::printf("the first bank's first member is at %s, discovery at %s\n",
-                    rig.fleet().member(0).c_str(), rig.fleet().discovery().c_str());
+                    rig.fleet().member(0).c_str(), rig.discovery().c_str());
         std::printf("to look at it by hand, with --stay: psql -h %s -p %s -U portal crm\n",
                     address.substr(0, colon).c_str(), address.substr(colon + 1).c_str());
         std::printf("  SELECT data FROM facts WHERE code = 'x' /* id=1,c=hours-report,d=750,cluster=0 */;\n");
--- a/src/app/ctl/rig.cpp
+++ b/src/app/ctl/rig.cpp
@@ -16,15 +16,13 @@
 #include <stdexcept>
 
 #include "net/connection.h"
-#include "pgwire/build.h"
-#include "pgwire/frame.h"
+#include "standin/readiness.h"
 #include "standin/settings.h"
 
 namespace sloestack::ctl {
 namespace {
 
 constexpr Micros kComesUp = 10'000'000;  // a proxy is ready within milliseconds; this only ends a hang
-constexpr Micros kLookAgain = 20'000;
 constexpr Micros kLongestTurn = 100'000;
 constexpr int kStopsWithin = 100;  // looks of 100 ms after SIGTERM: its longest deadline is 5 s
 
@@ -45,53 +43,38 @@
 
 }  // namespace
 
-// Asks what the platform's front asks: an empty query, until it is answered.
-class Rig::Ready final : public net::ConnectionEvents {
-public:
-    explicit Ready(Rig& of) : of_(of) { open(); }
-    bool is() const { return is_; }
-    void connected() override {
-        std::string out;
-        pgwire::Builder(out).startup("portal", "crm").query("");
-        connection_->write(out);
-    }
-    void received() override {
-        try {
-            while (const auto m = pgwire::next_message(connection_->unread())) {
-                if (m->type == 'I') is_ = true;
-                if (m->type == 'E') return ended(net::Ending::broken);
-                connection_->consume(m->size);
-            }
-        } catch (const pgwire::BadMessage&) {
-            ended(net::Ending::broken);
-        }
-    }
-    void ended(net::Ending) override {
-        connection_.reset();
-        again_.set(of_.deadlines_, of_.deadlines_.now() + kLookAgain, [this] { open(); });
-    }
-
-private:
-    void open() { connection_ = net::Connection::open(of_.loop_, of_.address_, 1 << 16, *this); }
-    Rig& of_;
-    bool is_ = false;
-    Deadline again_;
-    std::unique_ptr<net::Connection> connection_;
-};
-
 Rig::Rig(const RigSettings& settings)
     : settings_(settings), checker_(settings.rules), address_(free_address()) {
-    fleet_ = std::make_unique<standin::Fleet>(loop_, deadlines_, settings.fleet, checker_,
-                                              [this](Micros down_for) { kill_for(down_for); });
+    fleet_ = std::make_unique<standin::Fleet>(
+        loop_, deadlines_, settings.fleet, checker_,
+        [this](const standin::Listed& l) { discovery_->update(l); },
+        [this](Micros down_for) { kill_for(down_for); });
+    standin::DiscoverySettings of_discovery;
+    of_discovery.at = {*net::parse_address("127.0.0.1:0")};
+    of_discovery.hosts = settings.fleet.hosts;
+    discovery_ =
+        std::make_unique<standin::Discovery>(loop_, deadlines_, of_discovery, fleet_->list(), checker_);
+    for (const auto& fault : settings.fleet.script) {
+        if (fault.trouble != standin::Trouble::lost) continue;
+        const auto now = deadlines_.now();
+        lost_.set(deadlines_, now + fault.at_us,
+                  [this] { discovery_->set(standin::Discovery::State::gone); });
+        found_.set(deadlines_, now + fault.at_us + fault.for_us,
+                   [this] { discovery_->set(standin::Discovery::State::up); });
+    }
     char folder[] = "/tmp/sloestack-rig-XXXXXX";
     if (!mkdtemp(static_cast<char*>(folder)))
         throw std::runtime_error("no folder for the proxy's configuration");
     folder_ = static_cast<char*>(folder);
-    const auto known = nlohmann::json::parse(fleet_->list(true, 0));
+    const auto known = nlohmann::json::parse(discovery_->list(0, true, 0));
     std::ofstream(folder_ + "/config.json")
-        << standin::proxy_config(proxy_text(), fleet_->discovery(), known, settings.sockets).dump(2);
+        << standin::proxy_config(proxy_text(), discovery_->address(), known, settings.sockets).dump(2);
     start();
-    Ready ready(*this);
+    bool ready = false;
+    standin::Random random(1);
+    const standin::Edge edge;
+    const standin::Readiness readiness({loop_, deadlines_, random}, edge, address_,
+                                       [&ready] { ready = true; });
     const auto hopeless = deadlines_.now() + kComesUp;
     run([&] {
         int status = 0;
@@ -100,7 +83,7 @@
             throw std::runtime_error("the proxy ended before it was ready; --verbose shows its log");
         }
         if (deadlines_.now() > hopeless) throw std::runtime_error("the proxy does not answer");
-        return ready.is();
+        return ready;
     });
 }
 
--- a/src/app/ctl/rig.h
+++ b/src/app/ctl/rig.h
@@ -36,6 +36,7 @@
     Deadlines& deadlines() { return deadlines_; }
     standin::Checker& checker() { return checker_; }
     standin::Fleet& fleet() { return *fleet_; }
+    std::string discovery() const { return discovery_->address(); }
     // Takes turns until it holds; `work` is done in each.
     void run(const std::function<bool()>& until, const std::function<void()>& work = {});
     // SIGTERM, and whether the proxy then ended with 0.
@@ -43,7 +44,6 @@
     std::int64_t resident_kb() const;  // the proxy's, 0 where it cannot be told
 
 private:
-    class Ready;
     void start();
     void kill_for(Micros down_for);
     void turn();
@@ -53,7 +53,9 @@
     net::Loop loop_;
     Deadlines deadlines_{clock_};
     standin::Checker checker_;
+    std::unique_ptr<standin::Discovery> discovery_;
     std::unique_ptr<standin::Fleet> fleet_;
+    Deadline lost_, found_;
     sockaddr_in address_{};
     std::string folder_;
     pid_t child_ = -1;
--- a/standin/bank.cpp
+++ b/standin/bank.cpp
@@ -66,6 +66,14 @@
 
 void Bank::back(int member) { members_.at(static_cast<std::size_t>(member)).draining = false; }
 
+void Bank::replace(int member, Time copied_at, Time now) {
+    down(member, now);
+    auto& m = members_.at(static_cast<std::size_t>(member));
+    m = {};
+    m.applied = copied_at;
+    m.seen = now;
+}
+
 int Bank::primary(Time now) {
     if (lost_at_ && now >= lost_at_ + wait_) elect(now);
     return lost_at_ ? -1 : primary_;
--- a/standin/bank.h
+++ b/standin/bank.h
@@ -8,10 +8,9 @@
 #include <unordered_map>
 #include <vector>
 
-namespace standin {
+#include "standin/event.h"
 
-using Time = std::int64_t;  // Unix microseconds
-using Micros = std::int64_t;
+namespace standin {
 
 struct BankSettings {
     int members = 3;                      // the first begins as the primary
@@ -35,7 +34,8 @@
     void down(int member, Time now);  // crashed or cut off
     void up(int member, Time now);
     void drain(int member, Time now);
-    void back(int member);  // in service again
+    void back(int member);                               // in service again
+    void replace(int member, Time copied_at, Time now);  // by a new one with a copy of that time
     bool is_up(int member) const { return members_.at(static_cast<std::size_t>(member)).up; }
 
     struct Write {
--- a/standin/checker.cpp
+++ b/standin/checker.cpp
@@ -9,58 +9,126 @@
 
 constexpr std::size_t kMostSentences = 100;  // a program that breaks one rule breaks it often
 
+std::string of_proxy(int proxy) { return proxy < 0 ? "" : " by proxy " + std::to_string(proxy); }
+
 }  // namespace
 
 void Checker::breaks(const std::string& what) {
     broken_.size() < kMostSentences ? broken_.push_back(what) : void(++untold_);
 }
 
-void Checker::arrived(int member, const std::string& id, Time first_byte) {
-    const auto drains = drains_.find(member);
-    if (drains != drains_.end() && first_byte > drains->second + rules_.drain_grace)
-        breaks("request " + id + " was sent to member " + std::to_string(member) + " " +
-               std::to_string((first_byte - drains->second) / 1000) + " ms after its drain was told");
+void Checker::saw(const Event& e) {
+    switch (e.what) {
+        case What::asked: {
+            auto& client = clients_[e.id];
+            if (client.asked++ == 0) client.first_at = e.at;
+            client.proxy = e.proxy;
+            client.until = std::max(client.until, e.until);
+            return;
+        }
+        case What::answered:
+            return answered(e);
+        case What::arrived:
+            return arrived(e);
+        case What::ran:
+        case What::repeated:
+            return ran(e);
+        case What::drain:
+            drains_.emplace(std::pair(e.proxy, e.member), e.at);
+            return;
+        case What::back:
+            drains_.erase({e.proxy, e.member});
+            return;
+        case What::fell:
+            return breaks("the cold member " + std::to_string(e.member) + " was pushed over");
+        case What::process:
+            return process(e);
+        default:
+            return;
+    }
+}
+
+// A process that starts has been told nothing.
+void Checker::process(const Event& e) {
+    auto& outages = outages_[e.proxy];
+    if (e.word == "killed" || e.word == "stopped") outages.push_back({e.at, 0});
+    if ((e.word == "started" || e.word == "continued") && !outages.empty()) outages.back().to = e.at;
+    if (e.word == "started")
+        drains_.erase(drains_.lower_bound({e.proxy, -1}), drains_.lower_bound({e.proxy + 1, -1}));
+    if (e.word == "crashed") breaks("proxy " + std::to_string(e.proxy) + " crashed");
+}
+
+void Checker::arrived(const Event& e) {
+    const auto client = clients_.find(e.id);
+    if (client != clients_.end() && ++client->second.attempts > rules_.most_attempts)
+        breaks("request " + e.id + " was sent " + std::to_string(client->second.attempts) + " times");
+    // Who sent it is known by the event, or else by whom its client had asked.
+    const int proxy = e.proxy < 0 && client != clients_.end() ? client->second.proxy : e.proxy;
+    const auto drains = drains_.find({proxy, e.member});
+    if (drains != drains_.end() && e.since > drains->second + rules_.drain_grace)
+        breaks("request " + e.id + " was sent" + of_proxy(proxy) + " to member " + std::to_string(e.member) +
+               " " + std::to_string((e.since - drains->second) / 1000) + " ms after its drain was told");
 }
 
-void Checker::executed(const Executed& e) {
-    e.ran ? ++ran_ : ++repeats_;
+void Checker::ran(const Event& e) {
+    const bool first = e.what == What::ran;
+    first ? ++ran_ : ++repeats_;
     auto& values = values_[e.id];
     // Reads of one request give one value however often they run.
     if (std::find(values.begin(), values.end(), e.value) == values.end()) values.push_back(e.value);
-    if (e.ran && !e.key.empty() && ++keys_[e.key] == 2)
+    if (first && !e.key.empty() && ++keys_[e.key] == 2)
         breaks("the write with key " + e.key + " ran twice, the second time as request " + e.id);
     const auto bound = kClasses[e.klass].bound_us;
     // A bound is counted from the last byte of the send.
-    if (bound > 0 && !e.deposed && e.position + bound + rules_.slack < e.last_byte)
-        breaks("request " + e.id + " was answered from data " +
-               std::to_string((e.last_byte - e.position) / 1000) + " ms old by member " +
+    if (bound > 0 && !e.deposed && e.position + bound + rules_.slack < e.until)
+        breaks("request " + e.id + " was answered" + of_proxy(e.proxy) + " from data " +
+               std::to_string((e.until - e.position) / 1000) + " ms old by member " +
                std::to_string(e.member));
 }
 
-void Checker::told_drain(int member, Time at) { drains_.emplace(member, at); }
-void Checker::told_back(int member) { drains_.erase(member); }
+void Checker::answered(const Event& e) {
+    if (e.word == "unsent") return;  // it never left its client: nobody has taken it
+    auto& client = clients_[e.id];
+    const bool lost = e.word == "none";
+    if (rules_.late && e.at > client.until + rules_.late && client.until) client.late = true;
+    if (lost) return;
+    if (++client.answers > std::max(1, client.asked)) breaks("request " + e.id + " was answered twice");
+    if (e.word != "served") return;
+    const auto made = values_.find(e.id);
+    if (made == values_.end() ||
+        std::find(made->second.begin(), made->second.end(), e.value) == made->second.end())
+        breaks("request " + e.id + " was answered" + of_proxy(e.proxy) +
+               " with a value that no member made for it");
+}
 
-void Checker::asked(const std::string& id) { ++clients_[id].asked; }
+// Whether its proxy was killed or stood still while the request was out.
+bool Checker::away(const Client& client) const {
+    const auto found = outages_.find(client.proxy);
+    if (found == outages_.end()) return false;
+    return std::any_of(found->second.begin(), found->second.end(), [&](const Outage& o) {
+        return o.from <= client.until + rules_.late && (o.to == 0 || o.to >= client.first_at);
+    });
+}
 
-void Checker::answered(const std::string& id, bool served, std::uint64_t value) {
-    auto& client = clients_[id];
-    if (++client.answers > std::max(1, client.asked)) breaks("request " + id + " was answered twice");
-    if (!served) return;
-    const auto made = values_.find(id);
-    if (made == values_.end() ||
-        std::find(made->second.begin(), made->second.end(), value) == made->second.end())
-        breaks("request " + id + " was answered with a value that no member made for it");
+std::uint64_t Checker::excused() const {
+    return static_cast<std::uint64_t>(std::count_if(clients_.begin(), clients_.end(), [this](auto& c) {
+        return (c.second.answers < c.second.asked || c.second.late) && away(c.second);
+    }));
 }
 
 std::vector<std::string> Checker::broken() const {
     auto out = broken_;
-    std::uint64_t more = untold_, never = 0;
-    for (const auto& [id, client] : clients_)
-        if (client.answers < client.asked) {
-            ++never;
-            out.size() < kMostSentences ? out.push_back("request " + id + " was never answered")
-                                        : void(++more);
-        }
+    std::uint64_t more = untold_;
+    const auto add = [&](const std::string& sentence) {
+        out.size() < kMostSentences ? out.push_back(sentence) : void(++more);
+    };
+    for (const auto& [id, client] : clients_) {
+        if (away(client)) continue;
+        if (client.answers < client.asked)
+            add("request " + id + " was never answered" + of_proxy(client.proxy));
+        else if (client.late)
+            add("request " + id + " was answered too late" + of_proxy(client.proxy));
+    }
     if (more) out.push_back(std::to_string(more) + " more");
     return out;
 }
--- a/standin/checker.h
+++ b/standin/checker.h
@@ -1,64 +1,60 @@
-// What the stand-ins saw, and the rules it must keep. Pure: records go in, broken rules come out.
+// The rules, judged over what the stand-ins saw. Pure: events go in, in the order of their times, and broken
+// rules come out. One checker judges any number of proxies.
 #pragma once
 
-#include <cstdint>
 #include <map>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
-namespace standin {
-
-using Time = std::int64_t;
+#include "standin/event.h"
 
-struct Executed {  // a statement that has run at a member, or was answered as a repeat
-    std::string id, key;
-    int member = 0, klass = 0;
-    Time first_byte = 0, last_byte = 0, at = 0;
-    Time position = 0;        // the member's when it ran
-    bool ran = true;          // false: dropped as a repeat
-    bool deposed = false;     // the member was the primary within the last seconds, which excuses a read
-    std::uint64_t value = 0;  // digest
-};
+namespace standin {
 
 struct Rules {
     // As the operators have them, every time limit 50 ms longer on sockets.
     Time drain_grace = 300'000;
     Time slack = 50'000;
+    Time late = 500'000;  // an answer that comes so long after its client gave up is lost; 0: not judged
+    int most_attempts = 10;
 };
 
-class Checker {
+class Checker final : public Witness {
 public:
     explicit Checker(const Rules& rules) : rules_(rules) {}
 
-    // Members
-    void executed(const Executed& e);
-    // The first byte of any statement that has come, whether it runs or not.
-    void arrived(int member, const std::string& id, Time first_byte);
-    // The proxy has been told that the member drains or is gone; or that it is in service.
-    void told_drain(int member, Time at);
-    void told_back(int member);
-    // Clients
-    void asked(const std::string& id);  // once for each client that asks under it
-    void answered(const std::string& id, bool served, std::uint64_t value);
+    void saw(const Event& event) override;
 
     // Sentences, one a broken rule; none where all were kept. Only after the run: a request without an answer
-    // breaks one.
+    // breaks one, unless its proxy was killed or stood still meanwhile.
     std::vector<std::string> broken() const;
     std::uint64_t ran() const { return ran_; }
     std::uint64_t repeats() const { return repeats_; }
+    // Requests that got no answer since their proxy was killed or stood still: no rule is broken by them.
+    std::uint64_t excused() const;
 
 private:
+    struct Client {
+        int proxy = -1, asked = 0, answers = 0, attempts = 0;
+        Time first_at = 0, until = 0;
+        bool late = false;  // an answer, or none, came too late
+    };
+    struct Outage {
+        Time from = 0, to = 0;  // 0: not over
+    };
     void breaks(const std::string& what);
+    void ran(const Event& e);
+    void arrived(const Event& e);
+    void answered(const Event& e);
+    void process(const Event& e);
+    bool away(const Client& client) const;
 
     Rules rules_;
-    struct Client {
-        int asked = 0, answers = 0;
-    };
     std::unordered_map<std::string, Client> clients_;
     std::unordered_map<std::string, std::vector<std::uint64_t>> values_;  // by id, as members made them
     std::unordered_map<std::string, int> keys_;                           // how often each has run
-    std::map<int, Time> drains_;
+    std::map<std::pair<int, int>, Time> drains_;                          // by proxy and member
+    std::map<int, std::vector<Outage>> outages_;                          // by proxy
     std::vector<std::string> broken_;
     std::uint64_t ran_ = 0, repeats_ = 0, untold_ = 0;
 };
--- /dev/null
+++ b/standin/event.cpp
@@ -0,0 +1,73 @@
+#include "standin/event.h"
+
+#include <stdexcept>
+
+namespace standin {
+
+NLOHMANN_JSON_SERIALIZE_ENUM(What, {{What::fault, "fault"},
+                                    {What::asked, "asked"},
+                                    {What::answered, "answered"},
+                                    {What::arrived, "arrived"},
+                                    {What::ran, "ran"},
+                                    {What::repeated, "repeated"},
+                                    {What::turned, "turned"},
+                                    {What::linked, "linked"},
+                                    {What::probed, "probed"},
+                                    {What::called, "called"},
+                                    {What::drain, "drain"},
+                                    {What::back, "back"},
+                                    {What::fell, "fell"},
+                                    {What::process, "process"}})
+
+std::string to_line(const Event& e) {
+    nlohmann::json out = {{"at", e.at}, {"what", e.what}};
+    const auto number = [&](const char* name, std::int64_t value, std::int64_t usual) {
+        if (value != usual) out[name] = value;
+    };
+    const auto text = [&](const char* name, const std::string& value) {
+        if (!value.empty()) out[name] = value;
+    };
+    number("proxy", e.proxy, -1);
+    number("member", e.member, -1);
+    number("class", e.klass, -1);
+    number("since", e.since, 0);
+    number("until", e.until, 0);
+    number("position", e.position, 0);
+    text("id", e.id);
+    text("key", e.key);
+    text("word", e.word);
+    if (e.value) out["value"] = e.value;
+    if (e.last) out["last"] = true;
+    if (e.deposed) out["deposed"] = true;
+    return out.dump();
+}
+
+Event from_line(const std::string& line) {
+    const auto json = nlohmann::json::parse(line, nullptr, false);
+    if (!json.is_object() || !json.contains("at") || !json.contains("what"))
+        throw std::invalid_argument("no event: " + line);
+    try {
+        Event e;
+        e.what = json["what"].get<What>();
+        if (e.what == What::fault && json["what"] != "fault")
+            throw std::invalid_argument("no event: " + line);
+        e.at = json["at"].get<Time>();
+        e.proxy = json.value("proxy", -1);
+        e.member = json.value("member", -1);
+        e.klass = json.value("class", -1);
+        e.since = json.value("since", Time{0});
+        e.until = json.value("until", Time{0});
+        e.position = json.value("position", Time{0});
+        e.id = json.value("id", "");
+        e.key = json.value("key", "");
+        e.word = json.value("word", "");
+        e.value = json.value("value", std::uint64_t{0});
+        e.last = json.value("last", false);
+        e.deposed = json.value("deposed", false);
+        return e;
+    } catch (const nlohmann::json::exception& error) {
+        throw std::invalid_argument(error.what());
+    }
+}
+
+}  // namespace standin
--- a/standin/fleet.cpp
+++ b/standin/fleet.cpp
@@ -6,10 +6,8 @@
 #include <cstdio>
 #include <deque>
 #include <map>
-#include <nlohmann/json.hpp>
 
 #include "conversation/conversation.h"
-#include "http/request.h"
 #include "pgwire/build.h"
 #include "pgwire/frame.h"
 #include "pgwire/statement.h"
@@ -23,20 +21,26 @@
 
 constexpr std::size_t kMostUnread = pgwire::kLargestStatement + 1024;
 constexpr Micros kLookForRoles = 50'000;
-constexpr Micros kLongestWait = 60'000'000;
 constexpr Micros kExcused = 6'000'000;  // a deposed primary: until what discovery has to tell counts as told
+constexpr Micros kLeastCopied = 2'100'000,
+                 kMostCopied = 8'000'000;  // age of the copy a new member starts from
 constexpr double kWriteWork = 1.7;
 constexpr double kSlowApply = 10;
-constexpr int kClosedPort = 0;
 
-sockaddr_in loopback(std::uint16_t port) {
+sockaddr_in address(const std::string& host, int port) {
     sockaddr_in at{};
     at.sin_family = AF_INET;
-    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    at.sin_port = htons(port);
+    if (inet_pton(AF_INET, host.c_str(), &at.sin_addr) != 1) throw std::runtime_error("no address: " + host);
+    at.sin_port = htons(static_cast<std::uint16_t>(port));
     return at;
 }
 
+std::string name_of(int number) {
+    char name[24];
+    std::snprintf(name, sizeof name, "s-%08x", static_cast<unsigned>(number + 1));
+    return name;
+}
+
 int class_named(std::string_view name) {
     for (int i = 0; i < kClassCount; ++i)
         if (name == kClasses[i].name) return i;
@@ -48,25 +52,29 @@
 struct Fleet::Job {
     std::uint64_t number = 0;
     Peer* peer = nullptr;  // none where it has gone: running work goes on
+    bool handshake = false;
     std::string id, key, statement;
-    int klass = 0;
+    int klass = 0, proxy = 0;
+    Micros takes = 0;  // of a warm core
     Time first_byte = 0, last_byte = 0, not_after = 0;
     Time position = 0;
     Deadline ready;
 };
 
 struct Fleet::Member {
-    int bank = 0, index = 0;
+    Member(const ColdSettings& cold, int cores) : capacity(cold, cores) {}
+    int bank = 0, index = 0, generation = 0;
     std::string name;
-    std::uint16_t port = kClosedPort;
-    std::unique_ptr<net::Listener> listener;
+    std::vector<std::uint16_t> port;  // by proxy; 0: any
+    std::vector<std::unique_ptr<Port>> ports;
+    std::vector<std::unique_ptr<Edge>> edges;
     std::vector<std::unique_ptr<Peer>> peers;
     std::map<std::uint64_t, std::unique_ptr<Job>> running;
     std::deque<std::unique_ptr<Job>> queue;
+    Capacity capacity;
     Time stalled_until = 0, up_since = 0, deposed_at = 0;
-    bool silent = false, spoils = false, draining = false;
+    bool silent = false, spoils = false, draining = false, was_primary = false;
     std::string phase = "in_service";
-    std::int64_t revision = 1;  // of its last change
     bool primary_listed = false;
     std::string report;
     Time report_at = 0;
@@ -76,32 +84,33 @@
 // ---- members' connections ----
 class Fleet::Peer final : public net::ConnectionEvents {
 public:
-    Peer(Fleet& of, Member& at, evutil_socket_t fd) : of_(of), at_(at) {
-        connection_ = net::Connection::accepted(of.loop_, fd, kMostUnread, *this);
+    Peer(Fleet& of, Member& at, int proxy, evutil_socket_t fd) : of_(of), at_(at), proxy_(proxy) {
+        line_ = std::make_unique<Line>(Line::Host{of.loop_, of.deadlines_, of.random_},
+                                       *at.edges[static_cast<std::size_t>(proxy)], fd, kMostUnread, *this);
     }
+    int proxy() const { return proxy_; }
+    Line* line() { return line_.get(); }
     void received() override {
-        if (at_.silent) return connection_->consume(connection_->held());
+        if (at_.silent) return line_->consume(line_->held());
         if (!first_byte_) first_byte_ = of_.deadlines_.now();
         try {
-            while (connection_) {
-                const auto bytes = connection_->unread();
+            while (line_) {
+                const auto bytes = line_->unread();
                 const auto m = started_ ? pgwire::next_message(bytes) : pgwire::next_startup(bytes);
                 if (!m) return;
                 const auto began = std::exchange(first_byte_, of_.deadlines_.now());
                 const auto size = m->size;
                 if (!started_) {
                     started_ = true;
-                    std::string out;
-                    pgwire::Builder(out).greeting();
-                    connection_->write(out);
+                    of_.greet(at_, *this);
                 } else if (m->type == 'Q') {
                     of_.asked(at_, *this, std::string(pgwire::Fields(m->body).text()), began);
                 } else {
                     return gone();
                 }
-                if (!connection_) return;
-                connection_->consume(size);
-                if (connection_->held() == 0) first_byte_ = 0;
+                if (!line_) return;
+                line_->consume(size);
+                if (line_->held() == 0) first_byte_ = 0;
             }
         } catch (const pgwire::BadMessage&) {
             gone();
@@ -109,9 +118,9 @@
     }
     void ended(net::Ending) override { gone(); }
     void write(const std::string& bytes) {
-        if (connection_) connection_->write(bytes);
+        if (line_) line_->write(bytes);
     }
-    void close() { connection_.reset(); }
+    void close() { line_.reset(); }
     // It has left, or is to.
     void gone() {
         for (auto& [number, job] : at_.running)
@@ -132,72 +141,23 @@
 private:
     Fleet& of_;
     Member& at_;
+    int proxy_;
     bool started_ = false;
     Time first_byte_ = 0;
-    std::unique_ptr<net::Connection> connection_;
-};
-
-// ---- discovery's ----
-class Fleet::Call final : public net::ConnectionEvents {
-public:
-    Call(Fleet& of, evutil_socket_t fd) : of_(of) {
-        connection_ = net::Connection::accepted(of.loop_, fd, kMostUnread, *this);
-    }
-    void received() override {
-        try {
-            request_->feed(connection_->unread());
-            connection_->consume(connection_->held());
-            if (!request_->done()) return;
-            const auto request = std::exchange(request_, std::make_unique<sloestack::http::RequestParser>());
-            if (of_.lost_ || request->path() != "/registry/instances")
-                return respond(of_.lost_ ? 503 : 404, "{}");
-            const auto after = request->parameter("after"), wait = request->parameter("wait_ms");
-            after_ = after ? std::stoll(*after) : 0;
-            if (after_ == 0 || after_ < of_.revision_ || !wait) return tell();
-            const auto patience = std::min<Micros>(std::stoll(*wait) * 1000, kLongestWait);
-            wait_.set(of_.deadlines_, of_.deadlines_.now() + patience, [this] { tell(); });
-        } catch (const std::exception&) {
-            respond(400, "{}");
-        }
-    }
-    void ended(net::Ending) override {
-        wait_.clear();
-        connection_.reset();
-        gone = true;
-    }
-    bool waits() const { return wait_.is_set(); }
-    void tell() {
-        wait_.clear();
-        of_.told(after_);
-        respond(200, of_.list(after_ == 0, after_));
-    }
-    void respond(int status, const std::string& body) {
-        wait_.clear();
-        if (connection_)
-            connection_->write("HTTP/1.1 " + std::to_string(status) +
-                               " Answer\r\nContent-Type: application/json\r\n" +
-                               "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
-    }
-    bool gone = false;
-
-private:
-    Fleet& of_;
-    std::int64_t after_ = 0;
-    std::unique_ptr<sloestack::http::RequestParser> request_ =
-        std::make_unique<sloestack::http::RequestParser>();
-    Deadline wait_;
-    std::unique_ptr<net::Connection> connection_;
+    std::unique_ptr<Line> line_;
 };
 
 // ---- the fleet ----
-Fleet::Fleet(net::Loop& loop, Deadlines& deadlines, const FleetSettings& settings, Checker& checker,
-             std::function<void(Micros)> restart)
+Fleet::Fleet(net::Loop& loop, Deadlines& deadlines, const FleetSettings& settings, Witness& witness,
+             std::function<void(const Listed&)> listed, std::function<void(Micros)> restart)
     : loop_(loop),
       deadlines_(deadlines),
       settings_(settings),
-      checker_(checker),
+      witness_(witness),
+      listed_(std::move(listed)),
       restart_(std::move(restart)),
       begun_(deadlines.now()),
+      random_(settings.seed),
       new_primary_at_(static_cast<std::size_t>(settings.banks)),
       listed_primary_(static_cast<std::size_t>(settings.banks)),
       seen_primary_(static_cast<std::size_t>(settings.banks)) {
@@ -206,24 +166,19 @@
         model.members = settings.members;
         banks_.push_back(std::make_unique<Bank>(model, begun_));
         for (int i = 0; i < settings.members; ++i) {
-            auto& m = *members_.emplace_back(std::make_unique<Member>());
+            auto& m = *members_.emplace_back(std::make_unique<Member>(settings.cold, settings.cores));
             m.bank = b;
             m.index = i;
             m.primary_listed = i == 0;
-            char name[24];
-            std::snprintf(name, sizeof name, "s-%08x", static_cast<unsigned>(number_of(m) + 1));
-            m.name = name;
-            start(m);
+            m.name = name_of(number_of(m));
+            for (std::size_t p = 0; p < settings.hosts.size(); ++p) {
+                m.edges.push_back(std::make_unique<Edge>());
+                m.port.push_back(
+                    static_cast<std::uint16_t>(settings.first_port ? settings.first_port + number_of(m) : 0));
+            }
+            if (mine(b)) start(m);
         }
     }
-    discovery_ = std::make_unique<net::Listener>(
-        loop_, loopback(0),
-        [this](evutil_socket_t fd) {
-            calls_.erase(std::remove_if(calls_.begin(), calls_.end(), [](auto& c) { return c->gone; }),
-                         calls_.end());
-            calls_.push_back(std::make_unique<Call>(*this, fd));
-        },
-        [] {});
     for (const auto& fault : settings_.script) {
         script_.push_back(std::make_unique<Deadline>());
         script_.back()->set(deadlines_, begun_ + fault.at_us, [this, fault] { begin(fault); });
@@ -236,60 +191,118 @@
 
 Fleet::~Fleet() = default;
 
-int Fleet::number_of(const Member& m) const { return m.bank * settings_.members + m.index; }
+int Fleet::number_of(const Member& m) const {
+    return m.bank * settings_.members + m.index + m.generation * kGeneration;
+}
+Fleet::Member& Fleet::at(int bank, int member) {
+    return *members_.at(static_cast<std::size_t>(bank * settings_.members + member));
+}
 std::string Fleet::member(int number) const {
-    return "127.0.0.1:" + std::to_string(members_.at(static_cast<std::size_t>(number))->port);
+    return settings_.hosts[0] + ":" + std::to_string(members_.at(static_cast<std::size_t>(number))->port[0]);
 }
-std::string Fleet::discovery() const { return "127.0.0.1:" + std::to_string(discovery_->port()); }
-
-std::string Fleet::list(bool complete, std::int64_t after) const {
-    nlohmann::json out = {
-        {"revision", revision_}, {"complete", complete}, {"members", nlohmann::json::array()}};
-    for (const auto& m : members_) {
-        if (complete ? m->phase == "terminated" : m->revision <= after) continue;
-        out["members"].push_back({{"id", m->name},
-                                  {"host_port", "127.0.0.1:" + std::to_string(m->port)},
-                                  {"locality", "walu-bay"},
-                                  {"flavor", "std"},
-                                  {"cell", m->bank},
-                                  {"phase", m->phase},
-                                  {"size", 1.0},
-                                  {"up_since_ms", m->up_since / 1000},
-                                  {"role", m->primary_listed ? "primary" : "replica"}});
+int Fleet::primary(int bank) {
+    const int index = banks_.at(static_cast<std::size_t>(bank))->primary(deadlines_.now());
+    return index < 0 ? -1 : bank * settings_.members + index;
+}
+
+std::vector<Listed> Fleet::first_list(const FleetSettings& settings) {
+    std::vector<Listed> out;
+    for (int number = 0; number < settings.banks * settings.members; ++number) {
+        Listed l;
+        l.member = number;
+        l.group = number / settings.members;
+        l.primary = number % settings.members == 0;
+        l.name = name_of(number);
+        l.zone =
+            settings
+                .zones[static_cast<std::size_t>(number % settings.members + l.group) % settings.zones.size()];
+        l.port = static_cast<std::uint16_t>(settings.first_port ? settings.first_port + number : 0);
+        out.push_back(std::move(l));
     }
-    return out.dump();
+    return out;
+}
+
+std::vector<Listed> Fleet::list() const {
+    std::vector<Listed> out;
+    for (auto& l : first_list(settings_))
+        if (mine(l.group)) {
+            l.port = members_[static_cast<std::size_t>(l.member)]->port[0];
+            out.push_back(std::move(l));
+        }
+    return out;
+}
+
+Event Fleet::event(What what, const Member& m, int proxy) const {
+    Event e;
+    e.what = what;
+    e.at = deadlines_.now();
+    e.member = number_of(m);
+    e.proxy = proxy;
+    return e;
 }
 
 void Fleet::changed(Member& m, const char* phase) {
     m.phase = phase;
-    m.revision = ++revision_;
-    tell_watches();
+    tell(m);
+}
+
+void Fleet::tell(const Member& m) {
+    auto l = first_list(settings_)[static_cast<std::size_t>(m.bank * settings_.members + m.index)];
+    l.member = number_of(m);
+    l.name = m.name;
+    l.phase = m.phase;
+    l.port = m.port[0];
+    l.up_since = m.up_since;
+    l.primary = m.primary_listed;
+    listed_(l);
 }
 
-void Fleet::tell_watches() {
-    for (auto& call : calls_)
-        if (call->waits()) call->tell();
+void Fleet::start(Member& m) {
+    for (std::size_t p = 0; p < m.port.size(); ++p) {
+        m.ports.push_back(std::make_unique<Port>(
+            loop_, address(settings_.hosts[p], m.port[p]),
+            [this, &m, p](evutil_socket_t fd) { accepted(m, static_cast<int>(p), fd); }));
+        m.port[p] = m.ports.back()->port();
+        m.ports.back()->cut(m.edges[p]->cut());
+    }
 }
 
-void Fleet::told(std::int64_t after) {
-    for (const auto& m : members_) {
-        if (after > 0 && m->revision <= after) continue;
-        if (m->phase == "in_service")
-            checker_.told_back(number_of(*m));
-        else
-            checker_.told_drain(number_of(*m), deadlines_.now());
+void Fleet::accepted(Member& m, int proxy, evutil_socket_t fd) {
+    auto e = event(What::linked, m, proxy);
+    if (m.peers.size() >= settings_.connections) {
+        e.word = "refused";
+        evutil_closesocket(fd);
+    } else {
+        m.peers.push_back(std::make_unique<Peer>(*this, m, proxy, fd));
     }
+    witness_.saw(e);
 }
 
-void Fleet::start(Member& m) {
-    m.listener = std::make_unique<net::Listener>(
-        loop_, loopback(m.port),
-        [this, &m](evutil_socket_t fd) { m.peers.push_back(std::make_unique<Peer>(*this, m, fd)); }, [] {});
-    m.port = m.listener->port();
+Edge& Fleet::edge(int proxy, int member) {
+    return *members_.at(static_cast<std::size_t>(member))->edges.at(static_cast<std::size_t>(proxy));
+}
+
+void Fleet::edge_changed(int proxy, int member) {
+    auto& m = *members_.at(static_cast<std::size_t>(member));
+    if (!m.ports.empty())
+        m.ports[static_cast<std::size_t>(proxy)]->cut(m.edges[static_cast<std::size_t>(proxy)]->cut());
+    std::vector<Peer*> of_it;  // what has been under way may close some
+    for (auto& p : m.peers)
+        if (p->proxy() == proxy) of_it.push_back(p.get());
+    for (auto* p : of_it)
+        if (p->line()) p->line()->changed();
+}
+
+void Fleet::reset(int proxy, int member) {
+    auto& m = *members_.at(static_cast<std::size_t>(member));
+    std::vector<Peer*> of_it;
+    for (auto& p : m.peers)
+        if (p->proxy() == proxy) of_it.push_back(p.get());
+    for (auto* p : of_it) p->gone();
 }
 
 void Fleet::crash(Member& m) {
-    m.listener.reset();
+    m.ports.clear();
     for (auto& p : m.peers) {
         p->close();
         loop_.bury(std::move(p));
@@ -302,21 +315,22 @@
 
 void Fleet::begin(const Fault& f) {
     if (f.trouble == Trouble::restart) return restart_ ? restart_(f.for_us) : void();
-    if (f.trouble == Trouble::lost) {
-        lost_ = true;
-        for (auto& call : calls_)
-            if (call->waits()) call->respond(503, "{}");
-        return;
-    }
+    if (f.member < 0 || !mine(f.bank)) return;
     const Time now = deadlines_.now();
-    auto& m = *members_[static_cast<std::size_t>(f.bank * settings_.members + f.member)];
+    auto& m = at(f.bank, f.member);
     auto& bank = *banks_[static_cast<std::size_t>(f.bank)];
+    m.was_primary = bank.primary(now) == f.member;
     switch (f.trouble) {
         case Trouble::crash:
             bank.down(f.member, now);
             crash(m);
             m.listing.set(deadlines_, now + settings_.list_late, [this, &m] { changed(m, "terminated"); });
             return;
+        case Trouble::replace:
+            bank.replace(f.member, now - random_.between(kLeastCopied, kMostCopied), now);
+            crash(m);
+            changed(m, "terminated");
+            return;
         case Trouble::silent:
             bank.down(f.member, now);
             m.silent = true;
@@ -325,7 +339,7 @@
             m.stalled_until = now + f.for_us;
             return;
         case Trouble::drain:
-            if (bank.primary(now) == f.member) m.deposed_at = now;
+            if (m.was_primary) m.deposed_at = now;
             m.draining = true;
             bank.drain(f.member, now);
             return changed(m, "terminating");
@@ -340,18 +354,29 @@
 }
 
 void Fleet::end(const Fault& f) {
+    if (f.member < 0 || !mine(f.bank)) return;
     const Time now = deadlines_.now();
-    if (f.trouble == Trouble::lost) {
-        lost_ = false;
-        return;
-    }
-    auto& m = *members_[static_cast<std::size_t>(f.bank * settings_.members + f.member)];
+    auto& m = at(f.bank, f.member);
     auto& bank = *banks_[static_cast<std::size_t>(f.bank)];
+    // Who has not heard of it yet takes it for what it was.
+    if (m.was_primary) m.deposed_at = now;
     if (f.trouble == Trouble::crash) {
         bank.up(f.member, now);
         m.up_since = now;
+        m.capacity.started(now);
         start(m);
         m.listing.set(deadlines_, now + settings_.list_late, [this, &m] { changed(m, "in_service"); });
+    } else if (f.trouble == Trouble::replace) {
+        // Another machine, in the same place of its bank: a new name, a new address, an old copy.
+        ++m.generation;
+        m.name = name_of(number_of(m));
+        m.primary_listed = false;
+        if (settings_.first_port)
+            for (auto& port : m.port) port = static_cast<std::uint16_t>(settings_.first_port + number_of(m));
+        m.up_since = now;
+        m.capacity.started(now);
+        start(m);
+        changed(m, "in_service");
     } else if (f.trouble == Trouble::silent) {
         bank.up(f.member, now);
         m.silent = false;
@@ -362,6 +387,7 @@
         crash(m);
         m.draining = false;
         m.up_since = now;
+        m.capacity.started(now);
         bank.back(f.member);
         start(m);
         changed(m, "in_service");
@@ -374,6 +400,7 @@
 void Fleet::watch_roles() {
     const Time now = deadlines_.now();
     for (std::size_t b = 0; b < banks_.size(); ++b) {
+        if (!mine(static_cast<int>(b))) continue;
         const int primary = banks_[b]->primary(now);
         if (primary >= 0 && primary != seen_primary_[b]) {
             seen_primary_[b] = primary;
@@ -382,13 +409,11 @@
         if (seen_primary_[b] == listed_primary_[b] || now < new_primary_at_[b] + settings_.role_late)
             continue;
         for (const int i : {listed_primary_[b], seen_primary_[b]}) {
-            auto& m =
-                *members_[b * static_cast<std::size_t>(settings_.members) + static_cast<std::size_t>(i)];
+            auto& m = at(static_cast<int>(b), i);
             m.primary_listed = i == seen_primary_[b];
-            m.revision = ++revision_;
+            tell(m);
         }
         listed_primary_[b] = seen_primary_[b];
-        tell_watches();
     }
     roles_.set(deadlines_, now + kLookForRoles, [this] { watch_roles(); });
 }
@@ -419,16 +444,37 @@
     return out;
 }
 
+// A new connection costs the member work before it can be used.
+void Fleet::greet(Member& m, Peer& peer) {
+    std::string out;
+    pgwire::Builder(out).greeting();
+    if (settings_.connect_work == 0) return peer.write(out);
+    if (m.queue.size() >= settings_.queue) return peer.gone();
+    auto job = std::make_unique<Job>();
+    job->handshake = true;
+    job->peer = &peer;
+    job->takes = settings_.connect_work;
+    job->statement = std::move(out);
+    job->not_after = deadlines_.now() + 60'000'000;
+    enqueue(m, std::move(job));
+}
+
 void Fleet::asked(Member& m, Peer& peer, const std::string& statement, Time first_byte) {
     const Time now = deadlines_.now();
     auto& bank = *banks_[static_cast<std::size_t>(m.bank)];
+    auto job = std::make_unique<Job>();
     const auto turn_away = [&](std::string_view code, const char* why) {
+        auto e = event(What::turned, m, peer.proxy());
+        e.id = job->id;
+        e.word = code;
+        witness_.saw(e);
         auto out = parameters(m, bank.position(m.index, now));
         pgwire::Builder(out).error("ERROR", code, why).ready();
         peer.write(out);
     };
     if (statement == "SHOW load" || statement == "SELECT 1") {
         ++probes_;
+        witness_.saw(event(What::probed, m, peer.proxy()));
         auto out = parameters(m, bank.position(m.index, now));
         pgwire::Builder(out)
             .row_description("load", 25, false)
@@ -437,7 +483,6 @@
             .ready();
         return peer.write(out);
     }
-    auto job = std::make_unique<Job>();
     try {
         const auto tags = pgwire::read_tags(statement);
         job->id = tags.id;
@@ -449,16 +494,35 @@
     }
     if (job->klass < 0) return turn_away(pgwire::code::kProtocolViolation, "a class that nobody knows");
     ++attempts_;
-    checker_.arrived(number_of(m), job->id, first_byte);
+    auto e = event(What::arrived, m, peer.proxy());
+    e.id = job->id;
+    e.klass = job->klass;
+    e.since = first_byte;
+    witness_.saw(e);
     if (kClasses[job->klass].write && bank.primary(now) != m.index)
         return turn_away(pgwire::code::kReadOnly, "no primary");
     if (m.draining) return turn_away(pgwire::code::kTooManyConnections, "draining");
     if (m.queue.size() >= settings_.queue) return turn_away(pgwire::code::kTooManyConnections, "queue full");
-    job->number = ++last_job_;
+    Random random(mixed(settings_.seed, job->id));
+    auto takes = static_cast<double>(random.between(settings_.least_work, settings_.most_work));
+    if (kClasses[job->klass].write) takes *= kWriteWork;
+    job->takes = static_cast<Micros>(takes);
     job->peer = &peer;
+    job->proxy = peer.proxy();
     job->statement = statement;
     job->first_byte = first_byte;
     job->last_byte = now;
+    if (!m.capacity.bears(takes / 1e6, now)) {
+        witness_.saw(event(What::fell, m, peer.proxy()));
+        bank.down(m.index, now);
+        crash(m);
+        return m.listing.set(deadlines_, now + settings_.list_late, [this, &m] { changed(m, "terminated"); });
+    }
+    enqueue(m, std::move(job));
+}
+
+void Fleet::enqueue(Member& m, std::unique_ptr<Job> job) {
+    job->number = ++last_job_;
     m.queue.push_back(std::move(job));
     work(m);
 }
@@ -476,9 +540,7 @@
             continue;
         }
         job->position = bank.position(m.index, now);
-        Random random(mixed(settings_.seed, job->id));
-        auto takes = static_cast<double>(random.between(settings_.least_work, settings_.most_work));
-        if (kClasses[job->klass].write) takes *= kWriteWork;
+        const auto takes = static_cast<double>(job->takes) / m.capacity.share(now);
         const auto number = job->number;
         job->ready.set(deadlines_, now + static_cast<Micros>(takes), [this, &m, number] { done(m, number); });
         m.running.emplace(number, std::move(job));
@@ -492,7 +554,10 @@
         return found->second->ready.set(deadlines_, m.stalled_until, [this, &m, number] { done(m, number); });
     const auto job = std::move(found->second);
     m.running.erase(found);
-    if (!m.silent) answer(m, *job);
+    if (!m.silent && job->handshake && job->peer)
+        job->peer->write(job->statement);
+    else if (!m.silent && !job->handshake)
+        answer(m, *job);
     work(m);
 }
 
@@ -500,14 +565,12 @@
     const Time now = deadlines_.now();
     auto& bank = *banks_[static_cast<std::size_t>(m.bank)];
     const bool write = kClasses[job.klass].write;
-    Executed e;
+    auto e = event(What::ran, m, job.proxy);
     e.id = job.id;
     e.key = job.key;
-    e.member = number_of(m);
     e.klass = job.klass;
-    e.first_byte = job.first_byte;
-    e.last_byte = job.last_byte;
-    e.at = now;
+    e.since = job.first_byte;
+    e.until = job.last_byte;
     e.position = job.position;
     e.deposed = now - m.deposed_at < kExcused;
     std::string value;
@@ -521,7 +584,7 @@
             return;
         }
         const auto written = bank.write(job.key, data_in(job.statement), now);
-        e.ran = written.ran;
+        if (!written.ran) e.what = What::repeated;
         value = written.value;
         position = written.commit;
     } else {
@@ -529,7 +592,7 @@
     }
     const auto row = answer_of(value, write);
     e.value = digest_of(row).low;
-    checker_.executed(e);
+    witness_.saw(e);
     if (!job.peer) return;
     if (m.spoils) {
         job.peer->write(row.substr(0, row.size() * 2 / 3));
--- a/standin/load.cpp
+++ b/standin/load.cpp
@@ -1,6 +1,8 @@
 #include "standin/load.h"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 #include "pgwire/build.h"
 
@@ -13,6 +15,7 @@
 
 constexpr std::size_t kMostUnread = 8 * 1024 * 1024;
 constexpr std::int64_t kGrace = 300'000;  // a client's patience beyond its deadline
+constexpr Micros kNoticeSpread = 4;       // a front notices between a quarter of the time and all of it
 constexpr std::int64_t kLeastBackoff = 12'000, kMostBackoff = 100'000;
 
 }  // namespace
@@ -34,38 +37,44 @@
 
 class Load::Client final : public sloestack::net::ConnectionEvents, private conversation::Listener {
 public:
-    explicit Client(Load& of) : of_(of) {}
+    Client(Load& of, int proxy) : of_(of), proxy_(proxy) {}
     bool free() const { return !asked_; }
+    Line* line() { return line_.get(); }
     void ask(Asked asked) {
         asked_ = std::move(asked);
-        if (!link_) {
+        const auto patience = asked_->question.left_ms * 1000 + kGrace;
+        limit_.set(of_.deadlines_, of_.deadlines_.now() + patience,
+                   [this] { ended(sloestack::net::Ending::broken); });
+        if (!line_) {
             dialect_ = conversation::postgres().begin(1, of_.memory_, *this);
-            link_ = sloestack::net::Connection::open(of_.loop_, of_.to_, kMostUnread, *this);
-            sent_ = false;
+            sent_ = up_ = false;
+            auto& to = *of_.proxies_[static_cast<std::size_t>(proxy_)];
+            line_ = std::make_unique<Line>(Line::Host{of_.loop_, of_.deadlines_, of_.random_}, *to.edge,
+                                           to.at, kMostUnread, *this);
         } else if (dialect_->greeted()) {
             send();
         }
-        const auto patience = asked_->question.left_ms * 1000 + kGrace;
-        limit_.set(of_.deadlines_, of_.deadlines_.now() + patience,
-                   [this] { ended(sloestack::net::Ending::broken); });
-        if (!link_) ended(sloestack::net::Ending::broken);
     }
     void connected() override {
+        up_ = true;
         std::string out;
         pgwire::Builder(out).startup("portal", "crm");
         dialect_->read(conversation::Side::client, out, of_.deadlines_.now());
-        link_->write(out);
+        line_->write(out);
     }
     void received() override {
-        const auto bytes = link_->unread();
-        const auto size = bytes.size();
+        const std::string bytes(line_->unread());
         dialect_->read(conversation::Side::server, bytes, of_.deadlines_.now());
-        if (link_) link_->consume(size);
+        if (line_) line_->consume(bytes.size());
+        of_.reached(proxy_);
         finish();
     }
     void ended(sloestack::net::Ending) override {
-        link_.reset();
+        const bool was_up = up_;
+        line_.reset();
         limit_.clear();
+        up_ = false;
+        if (!was_up) of_.unreachable(proxy_);
         if (!asked_) return;
         // Never written: it has not been taken. Written: what became of it is unknown.
         if (!sent_) {
@@ -89,90 +98,168 @@
         std::string out;
         pgwire::Builder(out).query(statement_of(asked_->question));
         sent_ = true;
-        of_.checker_.asked(asked_->question.id);
+        Event e;
+        e.what = What::asked;
+        e.at = of_.deadlines_.now();
+        e.proxy = proxy_;
+        e.klass = asked_->question.klass;
+        e.id = asked_->question.id;
+        e.since = asked_->first_at;
+        e.until = e.at + asked_->question.left_ms * 1000;
+        of_.witness_.saw(e);
         dialect_->read(conversation::Side::client, out, of_.deadlines_.now());
-        link_->write(out);
+        line_->write(out);
     }
     void finish() {
         if (!got_ || !asked_) return;
         limit_.clear();
         const auto asked = *std::exchange(asked_, std::nullopt);
         const auto got = *std::exchange(got_, std::nullopt);
-        // One that never left was not asked: its client's own trouble.
-        if (sent_ && got.kind != Kind::none)
-            of_.checker_.answered(asked.question.id, got.kind == Kind::served, got.digest.low);
-        of_.answered(asked, got);
+        of_.answered(proxy_, asked, got, sent_);
     }
     Load& of_;
+    int proxy_;
     std::optional<Asked> asked_;
     std::optional<conversation::Answered> got_;
-    bool sent_ = false;
+    bool sent_ = false, up_ = false;
     std::unique_ptr<conversation::Dialect> dialect_;
-    std::unique_ptr<sloestack::net::Connection> link_;
+    std::unique_ptr<Line> line_;
     sloestack::Deadline limit_;
 };
 
-Load::Load(sloestack::net::Loop& loop, sloestack::Deadlines& deadlines, const sockaddr_in& to,
-           const LoadSettings& settings, Checker& checker)
+Load::Load(sloestack::net::Loop& loop, sloestack::Deadlines& deadlines, const LoadSettings& settings,
+           Witness& witness)
     : loop_(loop),
       deadlines_(deadlines),
-      to_(to),
       settings_(settings),
-      checker_(checker),
-      drawing_(settings.seed, settings.groups),
-      start_(deadlines.now()),
-      next_at_(start_) {
+      witness_(witness),
+      random_(settings.seed),
+      start_(deadlines.now()) {
     memory_.most = 256 * 1024 * 1024;
-    arrive();
+    for (const auto& at : settings.proxies) {
+        proxies_.push_back(std::make_unique<Proxy>());
+        proxies_.back()->at = at;
+        proxies_.back()->edge = std::make_unique<Edge>();
+    }
+    for (const int proxy : settings.homes) {
+        // Each proxy's clients are drawn by its number, whoever else is played in this process.
+        const auto seed = mixed(settings.seed, "clients " + std::to_string(proxy));
+        auto home = std::make_unique<Home>(proxy, settings.rate, Drawing(seed, settings.groups), start_);
+        if (settings.uneven > 1) {
+            // Even in the logarithm, with the mean kept: (u - 1/u) / (2 ln u) is the mean of u^[-1, 1].
+            const double u = settings.uneven;
+            const double mean = (u - 1 / u) / (2 * std::log(u));
+            home->rate *= std::pow(u, 2 * home->drawing.random().unit() - 1) / mean;
+        }
+        homes_.push_back(std::move(home));
+    }
+    for (auto& home : homes_) arrive(*home);
 }
 
 Load::~Load() = default;
 
-void Load::arrive() {
+void Load::arrive(Home& home) {
     const auto now = deadlines_.now();
-    while (next_at_ <= now) {
-        if (next_at_ - start_ >= settings_.length_us) {
-            drawn_over_ = true;
+    while (home.next_at <= now) {
+        if (home.next_at - start_ >= settings_.length_us) {
+            ++over_;
             return;
         }
         Asked asked;
-        asked.question = drawing_.next();
-        asked.first_at = next_at_;
-        next_at_ += std::max<std::int64_t>(
-            1, static_cast<std::int64_t>(drawing_.random().exponential(1e6 / settings_.rate)));
+        asked.question = home.drawing.next();
+        asked.first_at = home.next_at;
+        asked.home = home.proxy;
+        home.next_at += std::max<std::int64_t>(
+            1, static_cast<std::int64_t>(home.drawing.random().exponential(1e6 / home.rate)));
         ++open_;
         ++counts_[asked.question.klass].asked;
         ask(std::move(asked));
     }
-    arrivals_.set(deadlines_, next_at_, [this] { arrive(); });
+    home.arrivals.set(deadlines_, home.next_at, [this, &home] { arrive(home); });
 }
 
 void Load::ask(Asked asked) {
-    const auto free = std::find_if(clients_.begin(), clients_.end(), [](auto& c) { return c->free(); });
-    if (free != clients_.end()) return (*free)->ask(std::move(asked));
-    if (clients_.size() >= settings_.most_connections) return void(waiting_.push_back(std::move(asked)));
-    clients_.push_back(std::make_unique<Client>(*this));
-    clients_.back()->ask(std::move(asked));
+    int to = asked.home;
+    if (!proxies_[static_cast<std::size_t>(to)]->up) {
+        std::vector<int> others;
+        for (std::size_t i = 0; i < proxies_.size(); ++i)
+            if (proxies_[i]->up) others.push_back(static_cast<int>(i));
+        if (!others.empty())
+            to = others[static_cast<std::size_t>(
+                random_.between(0, static_cast<std::int64_t>(others.size()) - 1))];
+    }
+    go(to, std::move(asked));
+}
+
+void Load::go(int proxy, Asked asked) {
+    auto& to = *proxies_[static_cast<std::size_t>(proxy)];
+    const auto free = std::find_if(to.clients.begin(), to.clients.end(), [](auto& c) { return c->free(); });
+    if (free != to.clients.end()) return (*free)->ask(std::move(asked));
+    if (to.clients.size() >= settings_.most_connections) return void(to.waiting.push_back(std::move(asked)));
+    to.clients.push_back(std::make_unique<Client>(*this, proxy));
+    to.clients.back()->ask(std::move(asked));
+}
+
+// The front notices late, and takes a proxy in again only once it has answered an empty query.
+void Load::unreachable(int proxy) {
+    auto& p = *proxies_[static_cast<std::size_t>(proxy)];
+    const auto now = deadlines_.now();
+    if (!p.failed_at)
+        p.failed_at = now - random_.between(0, settings_.notice * (kNoticeSpread - 1) / kNoticeSpread);
+    if (!p.up || now - p.failed_at < settings_.notice) return;
+    p.up = false;
+    p.readiness =
+        std::make_unique<Readiness>(Line::Host{loop_, deadlines_, random_}, *p.edge, p.at, [this, proxy] {
+            auto& again = *proxies_[static_cast<std::size_t>(proxy)];
+            again.up = true;
+            again.failed_at = 0;
+        });
+}
+
+void Load::reached(int proxy) {
+    auto& p = *proxies_[static_cast<std::size_t>(proxy)];
+    if (p.up) p.failed_at = 0;
+}
+
+void Load::edge_changed(int proxy) {
+    for (auto& c : proxies_.at(static_cast<std::size_t>(proxy))->clients)
+        if (c->line()) c->line()->changed();
 }
 
-void Load::answered(const Asked& asked, const conversation::Answered& a) {
+void Load::answered(int proxy, const Asked& asked, const conversation::Answered& a, bool sent) {
     auto& count = counts_[asked.question.klass];
     const auto now = deadlines_.now();
     const auto& model = kClasses[asked.question.klass];
     const bool safe = !model.write || a.kind == Kind::refused;
     const auto left = asked.first_at + model.patience_us - now;
-    if (a.kind != Kind::served && safe && !asked.is_retry && left > kMostBackoff) {
+    const bool again = a.kind != Kind::served && safe && !asked.is_retry && left > kMostBackoff;
+    Event e;
+    e.what = What::answered;
+    e.at = now;
+    e.proxy = proxy;
+    e.klass = asked.question.klass;
+    e.id = asked.question.id;
+    e.since = asked.first_at;
+    e.last = !again;
+    e.word = !sent                     ? "unsent"
+             : a.kind == Kind::served  ? "served"
+             : a.kind == Kind::refused ? "refused"
+             : a.kind == Kind::failed  ? "failed"
+                                       : "none";
+    if (a.kind == Kind::served) e.value = a.digest.low;
+    witness_.saw(e);
+    if (again) {
         ++count.retries;
-        auto again = asked;
-        again.is_retry = again.question.repeat = true;
-        again.question.id = hex16(drawing_.random().next());
-        again.question.left_ms = left / 1000;
-        const auto wait = std::max<std::int64_t>(drawing_.random().between(kLeastBackoff, kMostBackoff),
+        auto next = asked;
+        next.is_retry = next.question.repeat = true;
+        next.question.id = hex16(random_.next());
+        next.question.left_ms = left / 1000;
+        const auto wait = std::max<std::int64_t>(random_.between(kLeastBackoff, kMostBackoff),
                                                  std::min<std::int64_t>(a.advice.value_or(0), left / 2));
         retries_.erase(std::remove_if(retries_.begin(), retries_.end(), [](auto& d) { return !d->is_set(); }),
                        retries_.end());
         retries_.push_back(std::make_unique<sloestack::Deadline>());
-        retries_.back()->set(deadlines_, now + wait, [this, again] { ask(again); });
+        retries_.back()->set(deadlines_, now + wait, [this, next] { ask(next); });
     } else {
         --open_;
         if (a.kind == Kind::served) {
@@ -184,10 +271,11 @@
         if (a.kind == Kind::failed) ++count.failed;
         if (a.kind == Kind::none) ++count.none;
     }
-    if (waiting_.empty()) return;
-    auto next = std::move(waiting_.front());
-    waiting_.pop_front();
-    ask(std::move(next));
+    auto& waiting = proxies_[static_cast<std::size_t>(proxy)]->waiting;
+    if (waiting.empty()) return;
+    auto next = std::move(waiting.front());
+    waiting.pop_front();
+    go(proxy, std::move(next));
 }
 
 }  // namespace standin
--- a/standin/load.h
+++ b/standin/load.h
@@ -1,5 +1,6 @@
 // Scripted clients: requests of the roster's classes at a rate, on connections that are held on to; retried
-// as the operators' clients do. The arrivals are drawn by a seed and do not wait for answers.
+// as the operators' clients do. The arrivals are drawn by a seed and do not wait for answers. Clients stick
+// to their proxy and go to another while theirs is taken for gone, as a plain front has it.
 #pragma once
 
 #include <cstdint>
@@ -11,8 +12,9 @@
 #include "conversation/conversation.h"
 #include "deadlines/deadlines.h"
 #include "histogram/histogram.h"
-#include "net/connection.h"
-#include "standin/checker.h"
+#include "standin/edge.h"
+#include "standin/event.h"
+#include "standin/readiness.h"
 #include "standin/values.h"
 
 namespace standin {
@@ -32,11 +34,15 @@
 };
 
 struct LoadSettings {
-    double rate = 200;  // a second
+    double rate = 200;  // a second, of each proxy's own clients
     std::int64_t length_us = 10'000'000;
     int groups = 2;
     std::uint64_t seed = 1;
-    std::size_t most_connections = 256;
+    std::size_t most_connections = 256;  // to each proxy
+    double uneven = 1;                   // a proxy's share lies between one of it and so many times the mean
+    std::vector<sockaddr_in> proxies;    // all there are
+    std::vector<int> homes;              // those whose clients these are
+    Micros notice = 1'000'000;           // from a proxy's silence until the front sends nothing there
 };
 
 struct ClassCount {
@@ -46,11 +52,13 @@
 
 class Load {
 public:
-    Load(sloestack::net::Loop& loop, sloestack::Deadlines& deadlines, const sockaddr_in& to,
-         const LoadSettings& settings, Checker& checker);
+    Load(sloestack::net::Loop& loop, sloestack::Deadlines& deadlines, const LoadSettings& settings,
+         Witness& witness);
     ~Load();
-    bool over() const { return drawn_over_ && open_ == 0; }
+    bool over() const { return over_ == homes_.size() && open_ == 0; }
     const ClassCount& count(int klass) const { return counts_[klass]; }
+    Edge& edge(int proxy) { return *proxies_.at(static_cast<std::size_t>(proxy))->edge; }
+    void edge_changed(int proxy);
 
 private:
     class Client;
@@ -58,24 +66,43 @@
         Question question;
         std::int64_t first_at = 0;
         bool is_retry = false;
+        int home = 0;
     };
-    void arrive();
+    struct Proxy {
+        sockaddr_in at{};
+        std::unique_ptr<Edge> edge;
+        bool up = true;
+        Time failed_at = 0;  // first time it was not to be reached since it last was
+        std::vector<std::unique_ptr<Client>> clients;
+        std::deque<Asked> waiting;
+        std::unique_ptr<Readiness> readiness;  // while it is taken for gone
+    };
+    struct Home {
+        Home(int p, double r, Drawing d, std::int64_t first_at)
+            : proxy(p), rate(r), drawing(std::move(d)), next_at(first_at) {}
+        int proxy;
+        double rate;
+        Drawing drawing;
+        std::int64_t next_at;
+        sloestack::Deadline arrivals;
+    };
+    void arrive(Home& home);
     void ask(Asked asked);
-    void answered(const Asked& asked, const sloestack::conversation::Answered& answer);
+    void go(int proxy, Asked asked);
+    void unreachable(int proxy);
+    void reached(int proxy);
+    void answered(int proxy, const Asked& asked, const sloestack::conversation::Answered& answer, bool sent);
 
     sloestack::net::Loop& loop_;
     sloestack::Deadlines& deadlines_;
-    sockaddr_in to_;
     LoadSettings settings_;
-    Checker& checker_;
-    Drawing drawing_;
-    std::int64_t start_, next_at_;
-    bool drawn_over_ = false;
-    std::size_t open_ = 0;
-    std::deque<Asked> waiting_;
-    std::vector<std::unique_ptr<Client>> clients_;
+    Witness& witness_;
+    Random random_;
+    std::int64_t start_;
+    std::size_t over_ = 0, open_ = 0;
+    std::vector<std::unique_ptr<Proxy>> proxies_;
+    std::vector<std::unique_ptr<Home>> homes_;
     std::vector<std::unique_ptr<sloestack::Deadline>> retries_;
-    sloestack::Deadline arrivals_;
     sloestack::conversation::Memory memory_;
     ClassCount counts_[kClassCount];
 };
--- a/standin/script.cpp
+++ b/standin/script.cpp
@@ -11,9 +11,9 @@
 namespace {
 
 constexpr std::pair<const char*, Trouble> kNames[] = {
-    {"crash", Trouble::crash},     {"stall", Trouble::stall}, {"silent", Trouble::silent},
-    {"drain", Trouble::drain},     {"slow", Trouble::slow},   {"spoil", Trouble::spoil},
-    {"restart", Trouble::restart}, {"lost", Trouble::lost}};
+    {"crash", Trouble::crash},     {"stall", Trouble::stall},     {"silent", Trouble::silent},
+    {"drain", Trouble::drain},     {"slow", Trouble::slow},       {"spoil", Trouble::spoil},
+    {"restart", Trouble::restart}, {"replace", Trouble::replace}, {"lost", Trouble::lost}};
 constexpr double kLongestS = 86'400;
 
 bool of_member(Trouble t) { return t != Trouble::restart && t != Trouble::lost; }
@@ -43,7 +43,7 @@
     if (found == std::end(kNames))
         throw std::invalid_argument(
             "\"" + text +
-            "\": the trouble must be crash, stall, silent, drain, slow, spoil, restart or lost");
+            "\": the trouble must be crash, stall, silent, drain, slow, spoil, replace, restart or lost");
     if (at == std::string::npos)
         throw std::invalid_argument("\"" + text + "\": says no time, as in stall@5:m1.1/1");
     Fault out;
--- a/standin/script.h
+++ b/standin/script.h
@@ -16,6 +16,7 @@
     slow,     // the log is applied ten times more slowly
     spoil,    // answers are cut off in their middle
     restart,  // the proxy itself: killed, and started again after the time
+    replace,  // gone for good; after the time a new member stands in its place, cold
     lost      // discovery answers nothing
 };
 
--- a/tests/standin/standin_test.cpp
+++ b/tests/standin/standin_test.cpp
@@ -5,7 +5,9 @@
 #include <stdexcept>
 
 #include "standin/bank.h"
+#include "standin/capacity.h"
 #include "standin/checker.h"
+#include "standin/edge.h"
 #include "standin/script.h"
 #include "standin/settings.h"
 #include "standin/values.h"
@@ -84,85 +86,193 @@
     EXPECT_TRUE(bank.write("k", "third", kNow + 5'100'000).ran);
 }
 
-Executed run(const std::string& id, const std::string& key = {}) {
-    Executed e;
+// Events as the stand-ins record them, of proxy 0 where nothing else is said.
+Event event(What what, const std::string& id, Time at = kNow) {
+    Event e;
+    e.what = what;
+    e.at = e.since = at;
+    e.proxy = 0;
     e.id = id;
+    return e;
+}
+Event ask(const std::string& id, Time at = kNow, int proxy = 0) {
+    auto e = event(What::asked, id, at);
+    e.proxy = proxy;
+    e.until = at + 600'000;
+    return e;
+}
+Event answer(const std::string& id, const std::string& word, std::uint64_t value = 0, Time at = kNow) {
+    auto e = event(What::answered, id, at);
+    e.word = word;
+    e.value = value;
+    return e;
+}
+Event run(const std::string& id, const std::string& key = {}) {
+    auto e = event(What::ran, id);
     e.key = key;
-    e.last_byte = e.at = e.position = kNow;
+    e.klass = 0;
+    e.until = e.position = kNow;
     e.value = 7;
     return e;
 }
+Event of_member(What what, int proxy, int member, Time at, const std::string& id = {}) {
+    auto e = event(what, id, at);
+    e.proxy = proxy;
+    e.member = member;
+    return e;
+}
+Event process(int proxy, const std::string& word, Time at) {
+    auto e = event(What::process, "", at);
+    e.proxy = proxy;
+    e.word = word;
+    return e;
+}
+std::vector<std::string> judged(const std::vector<Event>& events) {
+    Checker c({});
+    for (const auto& e : events) c.saw(e);
+    return c.broken();
+}
+bool says(const std::vector<Event>& events, const std::string& part) {
+    const auto broken = judged(events);
+    return broken.size() == 1 && broken[0].find(part) != std::string::npos;
+}
 
 TEST(Checker, FindsNothingWhereRulesAreKept) {
-    Checker c({});
-    c.asked("1");
-    c.arrived(0, "1", kNow);
-    c.executed(run("1"));
-    c.answered("1", true, 7);
-    c.asked("2");
-    c.answered("2", false, 0);
-    EXPECT_TRUE(c.broken().empty());
-}
-
-TEST(Checker, FindsEachBrokenRule) {
-    const auto says = [](const Checker& c, const std::string& part) {
-        const auto broken = c.broken();
-        return broken.size() == 1 && broken[0].find(part) != std::string::npos;
+    EXPECT_TRUE(judged({ask("1"), of_member(What::arrived, 0, 0, kNow, "1"), run("1"),
+                        answer("1", "served", 7), ask("2"), answer("2", "refused")})
+                    .empty());
+}
+
+TEST(Checker, EachRequestIsAnsweredOnce) {
+    EXPECT_TRUE(says({ask("1")}, "never answered"));
+    EXPECT_TRUE(says({ask("1"), answer("1", "none")}, "never answered"));
+    EXPECT_TRUE(judged({ask("1"), answer("1", "unsent"), answer("1", "failed")}).empty());
+    EXPECT_TRUE(says({ask("1"), answer("1", "failed"), answer("1", "failed")}, "answered twice"));
+    // Two clients with one id.
+    EXPECT_TRUE(judged({ask("1"), ask("1"), answer("1", "failed"), answer("1", "failed")}).empty());
+    EXPECT_TRUE(says({ask("1"), run("1"), answer("1", "served", 8)}, "no member made"));
+    // Late by half a second is lost.
+    EXPECT_TRUE(judged({ask("1"), answer("1", "failed", 0, kNow + 1'100'000)}).empty());
+    EXPECT_TRUE(says({ask("1"), answer("1", "failed", 0, kNow + 1'100'001)}, "too late"));
+}
+
+TEST(Checker, ExcusesWhatAProxyCannotAnswer) {
+    EXPECT_TRUE(judged({ask("1"), process(0, "killed", kNow + 100'000)}).empty());
+    EXPECT_TRUE(
+        judged({ask("1"), process(0, "stopped", kNow + 1'000), process(0, "continued", kNow + 3'000'000),
+                answer("1", "failed", 0, kNow + 3'001'000)})
+            .empty());
+    // Another proxy's death, one long before, one long after: no excuse.
+    EXPECT_TRUE(says({ask("1"), process(1, "killed", kNow + 100'000)}, "never answered"));
+    EXPECT_TRUE(says({process(0, "killed", kNow - 9), process(0, "started", kNow - 2), ask("1")}, "never"));
+    EXPECT_TRUE(says({ask("1"), process(0, "killed", kNow + 9'000'000)}, "never answered"));
+    EXPECT_TRUE(says({process(3, "crashed", kNow)}, "proxy 3 crashed"));
+}
+
+TEST(Checker, AWriteRunsOnceAndARequestIsSentTenTimesAtMost) {
+    auto repeat = run("2", "k");
+    repeat.what = What::repeated;
+    EXPECT_TRUE(judged({run("1", "k"), repeat}).empty());
+    EXPECT_TRUE(says({run("1", "k"), repeat, run("3", "k")}, "ran twice"));
+    std::vector<Event> events = {ask("1")};
+    for (int i = 0; i < 10; ++i) events.push_back(of_member(What::arrived, 0, i, kNow, "1"));
+    events.push_back(answer("1", "failed"));
+    EXPECT_TRUE(judged(events).empty());
+    events.push_back(of_member(What::arrived, 0, 10, kNow, "1"));
+    EXPECT_TRUE(says(events, "sent 11 times"));
+}
+
+TEST(Checker, ADrainBindsEachProxyFromWhenItWasTold) {
+    const auto drain = of_member(What::drain, 0, 4, kNow);
+    const auto sent = [](int proxy, Time after) {
+        return of_member(What::arrived, proxy, 4, kNow + after, "1");
     };
-    {
-        Checker c({});
-        c.asked("1");
-        EXPECT_TRUE(says(c, "never answered"));
-        c.answered("1", false, 0);
-        c.asked("2");
-        c.asked("2");  // two clients with one id
-        c.answered("2", false, 0);
-        c.answered("2", false, 0);
-        EXPECT_TRUE(c.broken().empty());
-        c.answered("1", false, 0);
-        EXPECT_TRUE(says(c, "answered twice"));
-    }
-    {
-        Checker c({});
-        c.executed(run("1", "k"));
-        auto repeat = run("2", "k");
-        repeat.ran = false;
-        c.executed(repeat);
-        EXPECT_TRUE(c.broken().empty());
-        c.executed(run("3", "k"));
-        EXPECT_TRUE(says(c, "ran twice"));
-    }
-    {
-        Checker c({});
-        c.told_drain(4, kNow);
-        c.arrived(4, "1", kNow + 300'000);
-        EXPECT_TRUE(c.broken().empty());
-        c.arrived(4, "2", kNow + 300'001);
-        EXPECT_TRUE(says(c, "after its drain was told"));
-        c.told_back(4);
-        c.arrived(4, "3", kNow + 900'000);
-        EXPECT_TRUE(says(c, "request 2"));
-    }
-    {
-        Checker c({});
-        auto old = run("1");
-        old.position = kNow - 250'000;
-        c.executed(old);
-        EXPECT_TRUE(c.broken().empty());
-        --old.position;
-        c.executed(old);
-        EXPECT_TRUE(says(c, "ms old"));
-        old.klass = 1;  // any age will do
-        c.executed(old);
-        EXPECT_TRUE(says(c, "ms old"));
-    }
-    {
-        Checker c({});
-        c.asked("1");
-        c.executed(run("1"));
-        c.answered("1", true, 8);
-        EXPECT_TRUE(says(c, "no member made"));
+    EXPECT_TRUE(judged({drain, sent(0, 300'000)}).empty());
+    EXPECT_TRUE(says({drain, sent(0, 300'001)}, "after its drain was told"));
+    EXPECT_TRUE(judged({drain, sent(1, 900'000)}).empty());  // not told yet
+    EXPECT_TRUE(judged({drain, of_member(What::back, 0, 4, kNow + 1), sent(0, 900'000)}).empty());
+    // A process that has started again has not been told.
+    EXPECT_TRUE(judged({drain, process(0, "started", kNow + 1), sent(0, 900'000)}).empty());
+    EXPECT_TRUE(says({drain, process(1, "started", kNow + 1), sent(0, 900'000)}, "after its drain"));
+    // Whose attempt it is can be known by the client alone.
+    auto unknown = sent(-1, 900'000);
+    EXPECT_TRUE(says({drain, ask("1", kNow, 0), unknown, answer("1", "failed")}, "after its drain"));
+    EXPECT_TRUE(judged({drain, ask("1", kNow, 1), unknown, answer("1", "failed")}).empty());
+}
+
+TEST(Checker, NoReadIsStaleAndNoColdMemberFalls) {
+    auto old = run("1");
+    old.position = kNow - 250'000;
+    EXPECT_TRUE(judged({old}).empty());
+    --old.position;
+    EXPECT_TRUE(says({old}, "ms old"));
+    old.klass = 1;  // any age will do
+    EXPECT_TRUE(judged({old}).empty());
+    old.klass = 0;
+    old.deposed = true;
+    EXPECT_TRUE(judged({old}).empty());
+    EXPECT_TRUE(says({of_member(What::fell, 0, 3, kNow)}, "pushed over"));
+}
+
+TEST(Events, AreWrittenAndReadBack) {
+    auto e = run("1", "k");
+    e.deposed = e.last = true;
+    e.word = "w";
+    e.member = 3;
+    EXPECT_EQ(to_line(from_line(to_line(e))), to_line(e));
+    EXPECT_EQ(from_line(to_line(e)).value, 7u);
+    for (const auto* bad : {"", "{}", "[1]", R"({"at":1,"what":"nothing"})", R"({"at":"x","what":"ran"})"})
+        EXPECT_THROW(from_line(bad), std::invalid_argument) << bad;
+}
+
+TEST(Pipe, DelaysLimitsLosesAndCutsInOrder) {
+    Random random(1);
+    Condition c;
+    c.delay = 10;
+    Pipe pipe;
+    pipe.put("ab", kNow, c, random);
+    EXPECT_EQ(pipe.take(kNow + 9, c), "");
+    EXPECT_EQ(pipe.next(c), kNow + 10);
+    c.delay = 0;
+    pipe.put("c", kNow, c, random);  // does not overtake
+    EXPECT_EQ(pipe.take(kNow + 9, c), "");
+    c.cut = true;
+    EXPECT_EQ(pipe.next(c), std::nullopt);
+    EXPECT_EQ(pipe.take(kNow + 99, c), "");
+    c.cut = false;
+    EXPECT_EQ(pipe.take(kNow + 99, c), "abc");
+    c.bytes_per_s = 1000;
+    pipe.put("12345", kNow, c, random);
+    pipe.put("12345", kNow, c, random);
+    EXPECT_EQ(pipe.take(kNow + 5'000, c), "12345");
+    EXPECT_EQ(pipe.next(c), kNow + 10'000);
+    Pipe lossy;
+    Condition loses;
+    loses.loss = 0.5;
+    int again = 0;
+    for (int i = 0; i < 1000; ++i) {
+        lossy.put("x", kNow + i * 100'000'000LL, loses, random);
+        again += *lossy.next(loses) > kNow + i * 100'000'000LL;
+        lossy.take(kNow + (i + 1) * 100'000'000LL, loses);
     }
+    EXPECT_GT(again, 400);
+    EXPECT_LT(again, 600);
+}
+
+TEST(Capacity, AColdMemberRisesEvenlyAndFallsUnderTooMuch) {
+    ColdSettings cold;
+    cold.from = 0.25;
+    cold.warm_after = 10'000'000;
+    Capacity c(cold, 2);
+    EXPECT_EQ(c.share(kNow), 1);
+    EXPECT_TRUE(c.bears(1000, kNow));  // warm: it has a queue, and does not fall
+    c.started(kNow);
+    EXPECT_DOUBLE_EQ(c.share(kNow + 5'000'000), 0.625);
+    // 3 x 0.25 x 2 cores x 3 s = 4.5 s of work in 3 s.
+    EXPECT_TRUE(c.bears(4.4, kNow));
+    EXPECT_TRUE(c.bears(4.4, kNow + 3'000'000));
+    EXPECT_FALSE(c.bears(4.4, kNow + 3'100'000));
+    EXPECT_FALSE(c.cold(kNow + 10'000'000));
 }
 
 TEST(Script, IsReadAndSaysWhatIsWrong) {
