Add the rig: sloestackctl fleet starts many processes, injects faults, judges the record

Need: the project had never started more than two processes of its own program, so nobody could say what a fleet does when most of it restarts.

Change: rig/ with a scenario file (JSON with comments, checked by a schema and by sentences), a plan drawn from scenario and seed, a conductor that starts proxies, parts (discovery, members by banks, clients) and carries out what is done to processes, records of one event a line, a pure tally (tenths of a second a process, time to full service, overshoot) and a judgement by the checker. sloestackctl fleet run, report, check.

--- /dev/null
+++ b/rig/channel.cpp
@@ -0,0 +1,35 @@
+#include "rig/channel.h"
+
+#include <event2/util.h>
+
+namespace rig {
+namespace {
+
+constexpr std::size_t kMostUnread = 1 << 20;
+
+}  // namespace
+
+Channel::Channel(sloestack::net::Loop& loop, int fd, std::function<void(const std::string&)> line,
+                 std::function<void()> ended)
+    : line_(std::move(line)), ended_(std::move(ended)) {
+    evutil_make_socket_nonblocking(fd);
+    connection_ = sloestack::net::Connection::accepted(loop, fd, kMostUnread, *this);
+}
+
+void Channel::received() {
+    while (connection_) {
+        const auto bytes = connection_->unread();
+        const auto end = bytes.find('\n');
+        if (end == std::string_view::npos) return;
+        const std::string line(bytes.substr(0, end));
+        connection_->consume(end + 1);
+        line_(line);
+    }
+}
+
+void Channel::ended(sloestack::net::Ending) {
+    connection_.reset();
+    ended_();
+}
+
+}  // namespace rig
--- /dev/null
+++ b/rig/folder.cpp
@@ -0,0 +1,53 @@
+#include "rig/folder.h"
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <stdexcept>
+
+namespace rig {
+namespace {
+
+std::string text_of(const std::string& path) {
+    std::ifstream in(path);
+    std::ostringstream out;
+    out << in.rdbuf();
+    if (!in) throw std::invalid_argument("cannot read " + path);
+    return out.str();
+}
+
+}  // namespace
+
+void write_run(const std::string& folder, const Run& run) {
+    std::ofstream scenario(folder + "/scenario.json"), out(folder + "/run.json");
+    scenario << run.plan.scenario.text;
+    out << nlohmann::json{{"seed", run.plan.seed},
+                          {"proxies", run.plan.scenario.proxies},
+                          {"block", run.block},
+                          {"member_parts", run.member_parts},
+                          {"client_parts", run.client_parts},
+                          {"begins", run.begins}}
+               .dump(2);
+    scenario.close();
+    out.close();
+    if (!scenario || !out) throw std::runtime_error("cannot write into " + folder);
+}
+
+Run read_run(const std::string& folder) {
+    const auto json = nlohmann::json::parse(text_of(folder + "/run.json"), nullptr, false);
+    try {
+        Run run;
+        const auto scenario =
+            Scenario::read(text_of(folder + "/scenario.json"), json.at("proxies").get<int>());
+        run.plan = draw(scenario, json.at("seed").get<std::uint64_t>());
+        run.block = json.at("block").get<int>();
+        run.member_parts = json.at("member_parts").get<int>();
+        run.client_parts = json.at("client_parts").get<int>();
+        run.begins = json.at("begins").get<Time>();
+        return run;
+    } catch (const nlohmann::json::exception&) {
+        throw std::invalid_argument(folder + "/run.json is no run's");
+    }
+}
+
+}  // namespace rig
--- /dev/null
+++ b/rig/part.cpp
@@ -0,0 +1,238 @@
+#include "rig/part.h"
+
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <vector>
+
+#include "rig/channel.h"
+#include "rig/folder.h"
+#include "rig/record.h"
+
+namespace rig {
+namespace {
+
+namespace net = sloestack::net;
+using sloestack::Deadline;
+constexpr int kChannel = 3;
+constexpr Micros kLongestTurn = 100'000;
+
+nlohmann::json to_json(const standin::Listed& l) {
+    return {{"member", l.member}, {"group", l.group}, {"name", l.name},         {"zone", l.zone},
+            {"phase", l.phase},   {"port", l.port},   {"up_since", l.up_since}, {"primary", l.primary}};
+}
+standin::Listed listed_from(const nlohmann::json& json) {
+    standin::Listed l;
+    l.member = json.at("member").get<int>();
+    l.group = json.at("group").get<int>();
+    l.name = json.at("name").get<std::string>();
+    l.zone = json.at("zone").get<std::string>();
+    l.phase = json.at("phase").get<std::string>();
+    l.port = json.at("port").get<std::uint16_t>();
+    l.up_since = json.at("up_since").get<Time>();
+    l.primary = json.at("primary").get<bool>();
+    return l;
+}
+
+// What every part has: its loop, its record, the conductor's word, and the steps that concern it.
+class Part {
+public:
+    Part(const std::string& folder, const std::string& name)
+        : run_(read_run(folder)),
+          recorder_(folder + "/" + name + ".jsonl"),
+          channel_(
+              loop_, kChannel, [this](const std::string& line) { heard(line); }, [this] { over_ = true; }) {}
+    virtual ~Part() = default;
+
+    void serve() {
+        channel_.say("ready");
+        while (!over_) {
+            Micros at_most = kLongestTurn;
+            if (const auto next = deadlines_.next()) at_most = std::min(at_most, *next - deadlines_.now());
+            loop_.run_once(at_most);
+            deadlines_.sweep();
+            loop_.end_turn();
+            turned();
+        }
+        recorder_.close();
+    }
+
+protected:
+    virtual void go() {}
+    virtual void told(const std::string&) {}
+    virtual void turned() {}
+    virtual void begin(const Step&) {}
+    virtual void end(const Step&) {}
+
+    // An edge's condition for the time of a step, and clear again behind it.
+    static void set(standin::Edge& edge, const Step& step, bool on) {
+        if (step.in) edge.in = on ? step.condition : standin::Condition{};
+        if (step.out) edge.out = on ? step.condition : standin::Condition{};
+    }
+    static bool of_edge(const Step& step, Ends ends) {
+        return step.what >= Do::cut && step.what <= Do::lose && step.edge == ends;
+    }
+
+    Run run_;
+    Recorder recorder_;
+    sloestack::Clock clock_;
+    net::Loop loop_;
+    sloestack::Deadlines deadlines_{clock_};
+    Channel channel_;
+
+private:
+    void heard(const std::string& line) {
+        if (line.rfind("go ", 0) != 0) return told(line);
+        const Time begins = std::stoll(line.substr(3));
+        for (const auto& step : run_.plan.steps) {
+            deadlines_.add(begins + step.at_us, [this, &step] { begin(step); });
+            deadlines_.add(begins + step.end_us, [this, &step] { end(step); });
+        }
+        start_.set(deadlines_, begins, [this] { go(); });
+    }
+    bool over_ = false;
+    Deadline start_;
+};
+
+class DiscoveryPart final : public Part {
+public:
+    explicit DiscoveryPart(const std::string& folder)
+        : Part(folder, "discovery"),
+          discovery_(loop_, deadlines_, discovery_settings(run_.plan.scenario, run_.block),
+                     standin::Fleet::first_list(fleet_settings(run_.plan, run_.block, 0, 1)), recorder_) {}
+
+private:
+    void told(const std::string& line) override {
+        discovery_.update(listed_from(nlohmann::json::parse(line)));
+    }
+    void begin(const Step& step) override { change(step, true); }
+    void end(const Step& step) override { change(step, false); }
+    void change(const Step& step, bool on) {
+        using State = standin::Discovery::State;
+        if (step.what == Do::discovery_slow) discovery_.slow(on ? step.slow_times : 1);
+        if (step.what == Do::discovery_empty) discovery_.set(on ? State::empty : State::up);
+        if (step.what == Do::discovery_behind) discovery_.set(on ? State::behind : State::up);
+        if (step.what == Do::discovery_gone) discovery_.set(on ? State::gone : State::up);
+        if (!of_edge(step, Ends::discovery)) return;
+        for (const int p : step.proxies) {
+            if (step.what == Do::reset) {
+                if (on) discovery_.reset(p);
+                continue;
+            }
+            set(discovery_.edge(p), step, on);
+            discovery_.edge_changed(p);
+        }
+    }
+    standin::Discovery discovery_;
+};
+
+class MembersPart final : public Part {
+public:
+    MembersPart(const std::string& folder, int part)
+        : Part(folder, "members-" + std::to_string(part)),
+          fleet_(loop_, deadlines_, fleet_settings(run_.plan, run_.block, part, run_.member_parts), recorder_,
+                 [this](const standin::Listed& l) { channel_.say(to_json(l).dump()); }),
+          part_(part) {}
+
+private:
+    void begin(const Step& step) override { change(step, true); }
+    void end(const Step& step) override { change(step, false); }
+    bool mine(int member) const {
+        return member / run_.plan.scenario.fleet.members % run_.member_parts == part_;
+    }
+    void change(const Step& step, bool on) {
+        const auto trouble = trouble_of(step.what);
+        if (trouble)
+            for (const int m : step.members) {
+                standin::Fault f;
+                f.trouble = *trouble;
+                f.for_us = step.end_us - step.at_us;
+                f.bank = m / run_.plan.scenario.fleet.members;
+                f.member = m % run_.plan.scenario.fleet.members;
+                on ? fleet_.begin(f) : fleet_.end(f);
+            }
+        if (!of_edge(step, Ends::members)) return;
+        for (const int m : step.members) {
+            if (!mine(m)) continue;
+            for (const int p : step.proxies) {
+                if (step.what == Do::reset) {
+                    if (on) fleet_.reset(p, m);
+                    continue;
+                }
+                set(fleet_.edge(p, m), step, on);
+                fleet_.edge_changed(p, m);
+            }
+        }
+    }
+    static std::optional<standin::Trouble> trouble_of(Do what) {
+        switch (what) {
+            case Do::member_crash:
+                return standin::Trouble::crash;
+            case Do::member_hang:
+                return standin::Trouble::silent;
+            case Do::member_replace:
+                return standin::Trouble::replace;
+            case Do::member_drain:
+                return standin::Trouble::drain;
+            case Do::member_stall:
+                return standin::Trouble::stall;
+            case Do::member_slow_apply:
+                return standin::Trouble::slow;
+            default:
+                return std::nullopt;
+        }
+    }
+    standin::Fleet fleet_;
+    int part_;
+};
+
+class ClientsPart final : public Part {
+public:
+    ClientsPart(const std::string& folder, int part)
+        : Part(folder, "clients-" + std::to_string(part)), part_(part) {}
+
+private:
+    void go() override {
+        load_ = std::make_unique<standin::Load>(
+            loop_, deadlines_, load_settings(run_.plan, run_.block, part_, run_.client_parts), recorder_);
+    }
+    void turned() override {
+        if (!load_ || told_over_ || !load_->over()) return;
+        told_over_ = true;
+        channel_.say("over");
+    }
+    void begin(const Step& step) override { change(step, true); }
+    void end(const Step& step) override { change(step, false); }
+    void change(const Step& step, bool on) {
+        if (!load_ || !of_edge(step, Ends::clients)) return;
+        for (const int p : step.proxies) {
+            if (step.what == Do::reset) {
+                if (on) load_->reset(p);
+                continue;
+            }
+            set(load_->edge(p), step, on);
+            load_->edge_changed(p);
+        }
+    }
+    int part_;
+    std::unique_ptr<standin::Load> load_;
+    bool told_over_ = false;
+};
+
+}  // namespace
+
+void run_part(const std::string& folder, const std::string& role, int part) {
+    std::unique_ptr<Part> running;
+    if (role == "discovery")
+        running = std::make_unique<DiscoveryPart>(folder);
+    else if (role == "members")
+        running = std::make_unique<MembersPart>(folder, part);
+    else if (role == "clients")
+        running = std::make_unique<ClientsPart>(folder, part);
+    else
+        throw std::invalid_argument("\"" + role + "\" is no part: discovery, members or clients");
+    running->serve();
+}
+
+}  // namespace rig
--- /dev/null
+++ b/rig/record.h
@@ -0,0 +1,27 @@
+// A run's record on disk: one file of events a process of the rig, one event a line.
+#pragma once
+
+#include <fstream>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "standin/event.h"
+
+namespace rig {
+
+class Recorder final : public standin::Witness {
+public:
+    explicit Recorder(const std::string& path);  // throws std::runtime_error where it cannot be written
+    void saw(const standin::Event& event) override;
+    void close();  // throws std::runtime_error where not all of it could be written
+
+private:
+    std::string path_;
+    std::ofstream out_;
+};
+
+// All events in `folder`, by time; throws std::invalid_argument naming a file and line that is no event.
+std::vector<standin::Event> read_record(const std::string& folder);
+
+}  // namespace rig
--- /dev/null
+++ b/rig/report.h
@@ -0,0 +1,22 @@
+// A run's record, judged and told: rules, figures, and the files that plots are made from.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace rig {
+
+struct Verdict {
+    std::vector<std::string> broken;  // rules
+    nlohmann::json figures;
+};
+// Reads the run in `folder`; throws std::invalid_argument where it is no run's.
+Verdict judge(const std::string& folder);
+// As tables on standard output.
+void print(const Verdict& verdict);
+// Writes series.tsv, a row for each tenth of a second, processes.tsv, and plot.gp into the folder; and
+// plot.png where gnuplot is there: false where it is not.
+bool plot(const std::string& folder);
+
+}  // namespace rig
--- /dev/null
+++ b/rig/scenario.cpp
@@ -0,0 +1,298 @@
+#include "rig/scenario.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <numeric>
+#include <stdexcept>
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validator.hpp>
+
+#include "rig/schema.h"
+
+namespace rig {
+namespace {
+
+using nlohmann::json;
+constexpr const char* kZones[] = {"walu-bay", "laucala", "nasinu"};
+
+const std::pair<const char*, Do> kNames[] = {
+    {"kill", Do::kill},
+    {"term", Do::term},
+    {"stop", Do::stop},
+    {"cut", Do::cut},
+    {"reset", Do::reset},
+    {"delay", Do::delay},
+    {"slow", Do::slow},
+    {"lose", Do::lose},
+    {"discovery_slow", Do::discovery_slow},
+    {"discovery_empty", Do::discovery_empty},
+    {"discovery_behind", Do::discovery_behind},
+    {"discovery_gone", Do::discovery_gone},
+    {"member_crash", Do::member_crash},
+    {"member_hang", Do::member_hang},
+    {"member_replace", Do::member_replace},
+    {"member_drain", Do::member_drain},
+    {"member_stall", Do::member_stall},
+    {"member_slow_apply", Do::member_slow_apply},
+};
+
+Micros from_s(const json& in, const char* key, double usual) {
+    return static_cast<Micros>(in.value(key, usual) * 1e6);
+}
+Micros from_ms(const json& in, const char* key, double usual) {
+    return static_cast<Micros>(in.value(key, usual) * 1e3);
+}
+
+void check_schema(const json& file) {
+    static const json text = json::parse(kScenarioSchema);
+    valijson::Schema schema;
+    valijson::SchemaParser().populateSchema(valijson::adapters::NlohmannJsonAdapter(text), schema);
+    valijson::ValidationResults results;
+    if (valijson::Validator().validate(schema, valijson::adapters::NlohmannJsonAdapter(file), &results))
+        return;
+    valijson::ValidationResults::Error error;
+    std::string where, why;
+    // The innermost error, which comes last, says most.
+    while (results.popError(error)) {
+        where.clear();
+        for (const auto& part : error.context) where += part;
+        why = error.description;
+    }
+    throw std::invalid_argument("scenario " + where + ": " + why);
+}
+
+bool of_processes(Do what) { return what == Do::kill || what == Do::term || what == Do::stop; }
+bool of_edges(Do what) { return what >= Do::cut && what <= Do::lose; }
+bool of_members(Do what) { return what >= Do::member_crash; }
+
+// Those of `all` that are meant: by list, by zone, then a share of them.
+template <class ZoneOf>
+std::vector<int> chosen(const json& fault, const char* list, const char* zone, const char* share, int all,
+                        ZoneOf zone_of_one, standin::Random& random) {
+    std::vector<int> out;
+    if (fault.contains(list)) {
+        out = fault[list].get<std::vector<int>>();
+        for (const int one : out)
+            if (one >= all)
+                throw std::invalid_argument("scenario: " + std::string(list) + " names " +
+                                            std::to_string(one) + " of " + std::to_string(all));
+    } else {
+        for (int i = 0; i < all; ++i)
+            if (!fault.contains(zone) || zone_of_one(i) == fault[zone].get<int>()) out.push_back(i);
+    }
+    if (fault.contains(share)) {
+        for (std::size_t i = out.size(); i > 1; --i)
+            std::swap(out[i - 1],
+                      out[static_cast<std::size_t>(random.between(0, static_cast<std::int64_t>(i) - 1))]);
+        const auto count = std::lround(fault[share].get<double>() * static_cast<double>(out.size()));
+        out.resize(static_cast<std::size_t>(std::max(1L, count)));
+    }
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
+int member_zone(const Scenario& s, int member) {
+    return (member % s.fleet.members + member / s.fleet.members) % s.zones;
+}
+
+// The steps of one fault: as many as it has waves and times, and one a process where they end apart.
+void draw(const Scenario& s, const json& fault, standin::Random& random, std::vector<Step>& out) {
+    Step step;
+    const auto name = fault.at("do").get<std::string>();
+    step.what =
+        std::find_if(std::begin(kNames), std::end(kNames), [&](auto& n) { return name == n.first; })->second;
+    step.at_us = from_s(fault, "at_s", 0);
+    const auto lasts = from_s(fault, "for_s", 1), spread = from_s(fault, "spread_s", 0);
+    step.end_us = step.at_us + lasts;
+    if (of_processes(step.what) || of_edges(step.what))
+        step.proxies = chosen(
+            fault, "proxies", "zone", "share", s.proxies, [&](int p) { return zone_of(s, p); }, random);
+    const auto edge = fault.value("edge", "members");
+    step.edge = edge == "members" ? Ends::members : edge == "discovery" ? Ends::discovery : Ends::clients;
+    const auto way = fault.value("way", "both");
+    step.in = way != "out";
+    step.out = way != "in";
+    if (of_members(step.what) || (of_edges(step.what) && step.edge == Ends::members)) {
+        auto wanted = fault;
+        // As the run begins, the first member of each bank is its primary.
+        if (fault.value("primaries", false)) {
+            std::vector<int> first;
+            for (int b = 0; b < s.fleet.banks; ++b) first.push_back(b * s.fleet.members);
+            wanted["member_list"] = first;
+        }
+        step.members = chosen(
+            wanted, "member_list", "member_zone", "member_share", s.fleet.banks * s.fleet.members,
+            [&](int m) { return member_zone(s, m); }, random);
+    }
+    auto& c = step.condition;
+    c.cut = step.what == Do::cut;
+    if (step.what == Do::delay) c.delay = from_ms(fault, "delay_ms", 50);
+    if (step.what == Do::slow) c.bytes_per_s = fault.value("bytes_per_s", 10'000.0);
+    if (step.what == Do::lose) c.loss = fault.value("loss", 0.05);
+    step.slow_times = fault.value("slow_times", 10.0);
+
+    const int waves = fault.value("waves", 1), times = fault.value("times", 1);
+    const auto every = from_s(fault, "every_s", 1);
+    auto order = step.proxies;
+    if (waves > 1)
+        for (std::size_t i = order.size(); i > 1; --i)
+            std::swap(order[i - 1],
+                      order[static_cast<std::size_t>(random.between(0, static_cast<std::int64_t>(i) - 1))]);
+    for (int k = 0; k < std::max(waves, times); ++k) {
+        auto one = step;
+        one.at_us += k * every;
+        one.end_us += k * every;
+        if (waves > 1) {
+            const auto size = order.size(), w = static_cast<std::size_t>(waves),
+                       i = static_cast<std::size_t>(k);
+            one.proxies.assign(order.begin() + static_cast<std::ptrdiff_t>(size * i / w),
+                               order.begin() + static_cast<std::ptrdiff_t>(size * (i + 1) / w));
+            std::sort(one.proxies.begin(), one.proxies.end());
+            if (one.proxies.empty()) continue;
+        }
+        if (spread == 0) {
+            out.push_back(one);
+            continue;
+        }
+        for (const int p : one.proxies) {
+            auto alone = one;
+            alone.proxies = {p};
+            alone.end_us += random.between(0, spread);
+            out.push_back(alone);
+        }
+    }
+}
+
+sockaddr_in at(int block, int proxy, std::uint16_t port) {
+    sockaddr_in out{};
+    out.sin_family = AF_INET;
+    inet_pton(AF_INET, host_of(block, proxy).c_str(), &out.sin_addr);
+    out.sin_port = htons(port);
+    return out;
+}
+
+}  // namespace
+
+std::string Step::text() const {
+    std::string words =
+        std::find_if(std::begin(kNames), std::end(kNames), [&](auto& n) { return n.second == what; })->first;
+    if (of_edges(what))
+        words += edge == Ends::members ? " members" : edge == Ends::discovery ? " discovery" : " clients";
+    if (!proxies.empty()) words += ", " + std::to_string(proxies.size()) + " proxies";
+    if (!members.empty()) words += ", " + std::to_string(members.size()) + " members";
+    return words;
+}
+
+int zone_of(const Scenario& s, int proxy) { return proxy % s.zones; }
+
+std::string host_of(int block, int proxy) {
+    return "127." + std::to_string(block) + "." + std::to_string(proxy / 200) + "." +
+           std::to_string(proxy % 200 + 10);
+}
+
+Scenario Scenario::read(const std::string& text, int proxies) {
+    const auto file = json::parse(text, nullptr, false, true);
+    if (file.is_discarded()) throw std::invalid_argument("scenario: no JSON");
+    check_schema(file);
+    Scenario s;
+    s.text = text;
+    s.proxies = proxies > 0 ? proxies : file["proxies"].get<int>();
+    s.zones = file.value("zones", 1);
+    s.rate_per_s = file.value("rate_per_s", 10.0);
+    s.uneven = file.value("uneven", 1.0);
+    s.steady_from_us = from_s(file, "steady_from_s", 0);
+    s.length_us = from_s(file, "length_s", 0);
+    s.notice_us = from_ms(file, "notice_ms", 1000);
+    auto& f = s.fleet;
+    f.banks = file["banks"].get<int>();
+    if (proxies > 0)
+        f.banks = std::max(1, static_cast<int>(std::lround(static_cast<double>(f.banks) * proxies /
+                                                           file["proxies"].get<double>())));
+    f.members = file["members"].get<int>();
+    if (f.banks * f.members >= standin::kGeneration)
+        throw std::invalid_argument("scenario: more than " + std::to_string(standin::kGeneration) +
+                                    " members");
+    f.zones.assign(std::begin(kZones), std::begin(kZones) + s.zones);
+    const auto member = file.value("member", json::object());
+    f.cores = member.value("cores", 2);
+    f.queue = member.value("queue", std::size_t{64});
+    f.connections = member.value("connections", std::size_t{400});
+    f.connect_work = from_ms(member, "connect_ms", 1);
+    f.least_work = from_ms(member, "least_work_ms", 42);
+    f.most_work = from_ms(member, "most_work_ms", 73);
+    if (f.most_work < f.least_work)
+        throw std::invalid_argument("scenario: member.most_work_ms is less than least_work_ms");
+    f.cold.from = member.value("cold_from", 0.29);
+    f.cold.warm_after = from_s(member, "warm_after_s", 18);
+    const auto discovery = file.value("discovery", json::object());
+    s.call_us = from_ms(discovery, "call_ms", 2);
+    s.entry_us = static_cast<Micros>(discovery.value("entry_us", 20.0));
+    s.longest_queue_us = from_ms(discovery, "longest_queue_ms", 500);
+    f.list_late = from_ms(discovery, "list_late_ms", 900);
+    f.role_late = from_ms(discovery, "role_late_ms", 3000);
+    draw(s, 1);  // names what a schema cannot say
+    return s;
+}
+
+Plan draw(const Scenario& scenario, std::uint64_t seed) {
+    Plan plan;
+    plan.scenario = scenario;
+    plan.seed = seed;
+    standin::Random random(standin::mixed(seed, "faults"));
+    const auto file = json::parse(scenario.text, nullptr, false, true);
+    for (const auto& fault : file.value("faults", json::array())) draw(scenario, fault, random, plan.steps);
+    for (const auto& step : plan.steps)
+        if (step.end_us > scenario.length_us)
+            throw std::invalid_argument("scenario: a fault, " + step.text() + ", ends after length_s");
+    std::stable_sort(plan.steps.begin(), plan.steps.end(),
+                     [](auto& a, auto& b) { return a.at_us < b.at_us; });
+    return plan;
+}
+
+Micros Plan::first_fault_us() const { return steps.empty() ? scenario.length_us : steps.front().at_us; }
+
+standin::DiscoverySettings discovery_settings(const Scenario& s, int block) {
+    standin::DiscoverySettings out;
+    for (int p = 0; p < s.proxies; ++p) {
+        out.at.push_back(at(block, p, kDiscoveryPort));
+        out.hosts.push_back(host_of(block, p));
+    }
+    out.call = s.call_us;
+    out.entry = s.entry_us;
+    out.longest_queue = s.longest_queue_us;
+    return out;
+}
+
+standin::FleetSettings fleet_settings(const Plan& plan, int block, int part, int parts) {
+    auto out = plan.scenario.fleet;
+    out.part = part;
+    out.parts = parts;
+    out.seed = standin::mixed(plan.seed, "members");
+    out.first_port = kFirstMemberPort;
+    out.hosts.clear();
+    for (int p = 0; p < plan.scenario.proxies; ++p) out.hosts.push_back(host_of(block, p));
+    return out;
+}
+
+standin::LoadSettings load_settings(const Plan& plan, int block, int part, int parts) {
+    const auto& s = plan.scenario;
+    standin::LoadSettings out;
+    out.rate = s.rate_per_s;
+    out.uneven = s.uneven;
+    out.length_us = s.length_us;
+    out.groups = s.fleet.banks;
+    out.notice = s.notice_us;
+    out.seed = standin::mixed(plan.seed, "load");
+    for (int p = 0; p < s.proxies; ++p) {
+        out.proxies.push_back(at(block, p, kProxyPort));
+        if (p % parts == part) out.homes.push_back(p);
+    }
+    return out;
+}
+
+}  // namespace rig
--- /dev/null
+++ b/rig/tally.h
@@ -0,0 +1,74 @@
+// What a run comes to in figures: counts for each tenth of a second and process, and the return to full
+// service. Pure: events go in by time.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "standin/event.h"
+#include "standin/values.h"
+
+namespace rig {
+
+using standin::Micros;
+using standin::Time;
+
+constexpr Micros kBin = 100'000;
+
+struct Bin {
+    // Requests by their first try's arrival, as it ended for the client.
+    std::uint64_t requests = 0, in_aim = 0;
+    // By the time of the event.
+    std::uint64_t answers = 0, refused = 0, failed = 0, none = 0, unsent = 0;  // of each try
+    std::uint64_t attempts = 0, turned = 0, links = 0, links_refused = 0, probes = 0;
+    std::uint64_t calls = 0, calls_failed = 0;
+    int up = 0;  // 1 while it is ready; of all of them: how many are
+    Bin& operator+=(const Bin& other);
+};
+
+// How service came back. Rates are a second, counted over windows of one second.
+struct Return {
+    bool measured = false;    // there was a fault and a steady time before it
+    Time last_up = 0;         // when the last process that had gone was ready again; 0: none had gone
+    Micros full_after = -1;   // from then until service was full for good; -1: never in this run
+    double share_before = 0;  // of requests answered within their aim
+    Micros p99_before = 0;
+    std::uint64_t worst_bins = 0;  // tenths of a second out of full service, from the fault on
+    struct Kind {
+        double steady = 0, highest = 0;
+        double overshoot() const { return steady > 0 ? highest / steady : 0; }
+    } attempts, links, calls, probes;
+    std::uint64_t refused = 0, failed = 0, none = 0, unsent = 0, requests = 0,
+                  in_aim = 0;  // from the fault on
+};
+
+class Tally {
+public:
+    Tally(int proxies, Time begins, Micros length);
+    void saw(const standin::Event& event);
+
+    const std::vector<Bin>& of(int proxy) const { return bins_.at(static_cast<std::size_t>(proxy)); }
+    std::vector<Bin> total() const;
+    // Judged from `steady_from` to `fault` as the time before, and from `fault` on; both count from the
+    // beginning.
+    Return back_to_service(Micros steady_from, Micros fault) const;
+    // By class and end of the last try.
+    const std::map<std::pair<int, std::string>, std::uint64_t>& ends() const { return ends_; }
+    // Latency of what was served within [from, to) of the beginning, by first arrival; 0 where nothing was.
+    Micros quantile(double share, Micros from, Micros to) const;
+
+private:
+    Bin* bin(int proxy, Time at);
+
+    Time begins_;
+    std::vector<std::vector<Bin>> bins_;
+    std::vector<std::vector<std::int32_t>> latencies_;  // by bin of the first arrival, us
+    std::map<std::pair<int, std::string>, std::uint64_t> ends_;
+    std::vector<std::vector<std::pair<Time, bool>>> states_;  // by proxy: since when it is ready, or not
+    Time last_up_ = 0;
+};
+
+}  // namespace rig
--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -15,6 +15,6 @@
 build_packages=(cmake:/usr/bin/cmake g++:/usr/bin/c++ make:/usr/bin/make libevent-dev:/usr/include/event2/event.h
     nlohmann-json3-dev:/usr/include/nlohmann/json.hpp libcxxopts-dev:/usr/include/cxxopts.hpp
     libpcap-dev:/usr/include/pcap/pcap.h libtins-dev:/usr/include/tins/tins.h libxxhash-dev:/usr/include/xxhash.h
-    libutfcpp-dev:/usr/include/utf8cpp/utf8.h)
+    libutfcpp-dev:/usr/include/utf8cpp/utf8.h libvalijson-dev:/usr/include/valijson/validator.hpp)
 test_packages=(libgtest-dev:/usr/include/gtest/gtest.h librapidcheck-dev:/usr/include/rapidcheck.h
     clang-format:/usr/bin/clang-format)
--- a/src/app/ctl/command.h
+++ b/src/app/ctl/command.h
@@ -22,6 +22,10 @@
 int pcap_replay(const Arguments& arguments);
 int pcap_rehearse(const Arguments& arguments);
 int pcap_diff(const Arguments& arguments);
+int fleet_run(const Arguments& arguments);
+int fleet_report(const Arguments& arguments);
+int fleet_check(const Arguments& arguments);
+int fleet_part(const Arguments& arguments);
 int demo(const Arguments& arguments);
 int example_config(const Arguments& arguments);
 
--- a/src/app/ctl/main.cpp
+++ b/src/app/ctl/main.cpp
@@ -22,6 +22,10 @@
     {"pcap replay", {pcap_replay, "play a capture against a proxy and compare the answers"}},
     {"pcap rehearse", {pcap_rehearse, "the same with stand-ins and a proxy started for it"}},
     {"pcap diff", {pcap_diff, "compare the conversations of two capture files"}},
+    {"fleet run", {fleet_run, "play a scenario: many processes of sloestack, faults between them"}},
+    {"fleet report", {fleet_report, "judge a run's record anew, and plot it"}},
+    {"fleet check", {fleet_check, "say whether a scenario can be played, and what it does when"}},
+    {"fleet part", {fleet_part, "one process of a run; fleet run starts it"}},
     {"demo", {demo, "start stand-ins and a proxy, play traffic and print what came of it"}},
     {"example-config", {example_config, "print a configuration that sloestack can be started with"}},
 };
@@ -53,7 +57,7 @@
     }
     auto name = words[0];
     std::size_t taken = 1;
-    if (name == "pcap" && words.size() > 1) {
+    if ((name == "pcap" || name == "fleet") && words.size() > 1) {
         name += " " + words[1];
         taken = 2;
     }
--- a/standin/discovery.cpp
+++ b/standin/discovery.cpp
@@ -21,8 +21,28 @@
     return static_cast<char*>(text);
 }
 
+nlohmann::json entry_of(const Listed& m, const std::string& host) {
+    return {{"id", m.name},
+            {"host_port", host + ":" + std::to_string(m.port)},
+            {"locality", m.zone},
+            {"flavor", "std"},
+            {"cell", m.group},
+            {"phase", m.phase},
+            {"size", 1.0},
+            {"up_since_ms", m.up_since / 1000},
+            {"role", m.primary ? "primary" : "replica"}};
+}
+constexpr std::int64_t kFirstRevision = 1;
+
 }  // namespace
 
+nlohmann::json Discovery::first_list(const std::vector<Listed>& members, const std::string& host) {
+    nlohmann::json out = {
+        {"revision", kFirstRevision}, {"complete", true}, {"members", nlohmann::json::array()}};
+    for (const auto& m : members) out["members"].push_back(entry_of(m, host));
+    return out;
+}
+
 class Discovery::Call final : public net::ConnectionEvents {
 public:
     Call(Discovery& of, int proxy, evutil_socket_t fd) : of_(of), proxy_(proxy) {
@@ -154,16 +174,7 @@
     for (const auto& [name, entry] : view().members) {
         const auto& m = entry.listed;
         if (complete ? m.phase == "terminated" : entry.revision <= after) continue;
-        out["members"].push_back({{"id", name},
-                                  {"host_port", settings_.hosts.at(static_cast<std::size_t>(proxy)) + ":" +
-                                                    std::to_string(m.port)},
-                                  {"locality", m.zone},
-                                  {"flavor", "std"},
-                                  {"cell", m.group},
-                                  {"phase", m.phase},
-                                  {"size", 1.0},
-                                  {"up_since_ms", m.up_since / 1000},
-                                  {"role", m.primary ? "primary" : "replica"}});
+        out["members"].push_back(entry_of(m, settings_.hosts.at(static_cast<std::size_t>(proxy))));
     }
     return out.dump();
 }
@@ -207,6 +218,11 @@
     }
 }
 
+void Discovery::reset(int proxy) {
+    for (auto& call : calls_)
+        if (call->proxy() == proxy) call->close();
+}
+
 void Discovery::edge_changed(int proxy) {
     if (!ports_.empty()) ports_.at(static_cast<std::size_t>(proxy))->cut(edge(proxy).cut());
     for (auto& call : calls_)
--- a/standin/discovery.h
+++ b/standin/discovery.h
@@ -48,6 +48,10 @@
     void slow(double times) { slow_ = times; }
     Edge& edge(int proxy) { return *edges_.at(static_cast<std::size_t>(proxy)); }
     void edge_changed(int proxy);
+    void reset(int proxy);  // its connections
+
+    // The whole list as it begins, for a proxy that reaches members at `host`.
+    static nlohmann::json first_list(const std::vector<Listed>& members, const std::string& host);
 
     std::string address(int proxy = 0) const;
     std::string list(int proxy, bool complete, std::int64_t after) const;  // as it is told
@@ -57,7 +61,7 @@
     class Call;
     struct Entry {
         Listed listed;
-        std::int64_t revision = 1;  // of its last change
+        std::int64_t revision = 1;  // of its last change; the first is that of first_list
     };
     struct View {
         std::int64_t revision = 1;
--- a/standin/load.cpp
+++ b/standin/load.cpp
@@ -133,7 +133,8 @@
       deadlines_(deadlines),
       settings_(settings),
       witness_(witness),
-      random_(settings.seed),
+      random_(
+          mixed(settings.seed, "front " + std::to_string(settings.homes.empty() ? 0 : settings.homes[0]))),
       start_(deadlines.now()) {
     memory_.most = 256 * 1024 * 1024;
     for (const auto& at : settings.proxies) {
@@ -221,9 +222,17 @@
     if (p.up) p.failed_at = 0;
 }
 
+// What is done to one client can bring a new one about, or send a free one off again.
 void Load::edge_changed(int proxy) {
-    for (auto& c : proxies_.at(static_cast<std::size_t>(proxy))->clients)
-        if (c->line()) c->line()->changed();
+    auto& clients = proxies_.at(static_cast<std::size_t>(proxy))->clients;
+    for (std::size_t i = 0, all = clients.size(); i < all; ++i)
+        if (auto* line = clients[i]->line()) line->changed();
+}
+
+void Load::reset(int proxy) {
+    auto& clients = proxies_.at(static_cast<std::size_t>(proxy))->clients;
+    for (std::size_t i = 0, all = clients.size(); i < all; ++i)
+        if (clients[i]->line()) clients[i]->ended(sloestack::net::Ending::broken);
 }
 
 void Load::answered(int proxy, const Asked& asked, const conversation::Answered& a, bool sent) {
--- a/standin/load.h
+++ b/standin/load.h
@@ -59,6 +59,7 @@
     const ClassCount& count(int klass) const { return counts_[klass]; }
     Edge& edge(int proxy) { return *proxies_.at(static_cast<std::size_t>(proxy))->edge; }
     void edge_changed(int proxy);
+    void reset(int proxy);  // its clients' connections
 
 private:
     class Client;
