--- a/rig/conductor.h
+++ b/rig/conductor.h
@@ -37,6 +37,8 @@
 
     void take_block();
     void start_parts();
+    std::string config_path(int number) const;
+    void write_config(int number);
     void start_proxy(int number);
     void proxy_ended(int number, int status);
     void reap();
@@ -56,7 +58,8 @@
     sloestack::Deadlines deadlines_{clock_};
     standin::Random random_{1};
     Recorder recorder_;
-    int lock_ = -1;  // holds the block of addresses
+    std::vector<standin::Listed> members_;  // as the run begins: the list that proxies start with
+    int lock_ = -1;                         // holds the block of addresses
     std::vector<std::unique_ptr<Part>> parts_;
     std::vector<std::unique_ptr<Proxy>> proxies_;
     bool ending_ = false;
--- a/rig/tally.h
+++ b/rig/tally.h
@@ -57,6 +57,9 @@
     Return back_to_service(Micros steady_from, Micros fault) const;
     // By class and end of the last try.
     const std::map<std::pair<int, std::string>, std::uint64_t>& ends() const { return ends_; }
+    // By how much the rig's own turns came too late: the most in each second of each of its processes,
+    // sorted.
+    std::vector<Micros> busy() const;
     // Latency of what was served within [from, to) of the beginning, by first arrival; 0 where nothing was.
     Micros quantile(double share, Micros from, Micros to) const;
 
@@ -67,8 +70,8 @@
     std::vector<std::vector<Bin>> bins_;
     std::vector<std::vector<std::int32_t>> latencies_;  // by bin of the first arrival, us
     std::map<std::pair<int, std::string>, std::uint64_t> ends_;
-    std::vector<std::vector<std::pair<Time, bool>>> states_;  // by proxy: since when it is ready, or not
     Time last_up_ = 0;
+    std::vector<Micros> busy_;
 };
 
 }  // namespace rig
--- a/src/app/ctl/command.h
+++ b/src/app/ctl/command.h
@@ -25,6 +25,7 @@
 int fleet_run(const Arguments& arguments);
 int fleet_report(const Arguments& arguments);
 int fleet_check(const Arguments& arguments);
+int fleet_compare(const Arguments& arguments);
 int fleet_part(const Arguments& arguments);
 int demo(const Arguments& arguments);
 int example_config(const Arguments& arguments);
--- a/src/app/ctl/fleet.cpp
+++ b/src/app/ctl/fleet.cpp
@@ -9,6 +9,7 @@
 #include <sstream>
 
 #include "ctl/command.h"
+#include "rig/compare.h"
 #include "rig/conductor.h"
 #include "rig/part.h"
 #include "rig/report.h"
@@ -48,6 +49,17 @@
     return verdict.broken.empty() ? kGood : kFound;
 }
 
+// A machine that stands still for a while must not decide a test's verdict.
+void add_slack(cxxopts::Options& options) {
+    options.add_options()("slack", "ms, added to every limit on time that the rules have",
+                          cxxopts::value<double>()->default_value("0"));
+}
+std::int64_t slack_us(const cxxopts::ParseResult& parsed) {
+    const auto ms = parsed["slack"].as<double>();
+    if (!(ms >= 0 && ms <= 60'000)) throw BadCall("--slack must lie between 0 and 60000");
+    return static_cast<std::int64_t>(ms * 1000);
+}
+
 }  // namespace
 
 int fleet_run(const Arguments& arguments) {
@@ -61,8 +73,10 @@
         "out", "an empty folder for the record, which stays", cxxopts::value<std::string>())(
         "program", "the sloestack to start, in place of the one beside this", cxxopts::value<std::string>())(
         "keep", "keep the record also where --out names no folder")("json", "report as JSON");
+    add_slack(options);
     const auto parsed = parse(options, arguments, {"file"});
     if (!parsed) return kGood;
+    const auto slack = slack_us(*parsed);
     const int proxies = parsed->count("proxies") ? (*parsed)["proxies"].as<int>() : 0;
     if (parsed->count("proxies") && (proxies < 1 || proxies > kMostProxies))
         throw BadCall("--proxies must lie between 1 and " + std::to_string(kMostProxies));
@@ -75,7 +89,7 @@
     if (access(settings.proxy.c_str(), X_OK) != 0) throw BadCall(settings.proxy + " cannot be started");
     settings.folder = folder_of(*parsed);
     rig::Conductor(settings).play();
-    const int out = told(rig::judge(settings.folder), parsed->count("json") > 0);
+    const int out = told(rig::judge(settings.folder, slack), parsed->count("json") > 0);
     const bool keep = parsed->count("out") || parsed->count("keep");
     if (!keep) std::filesystem::remove_all(settings.folder);
     if (keep && !parsed->count("json")) std::printf("record: %s\n", settings.folder.c_str());
@@ -86,10 +100,11 @@
     cxxopts::Options options("sloestackctl fleet report", "Judges the record of a run anew, and plots it.");
     options.add_options()("json", "report as JSON")("plot",
                                                     "write tables of each tenth of a second, and plot.png");
+    add_slack(options);
     const auto parsed = parse(options, arguments, {"folder"});
     if (!parsed) return kGood;
     const auto folder = required(*parsed, "folder");
-    const int out = told(rig::judge(folder), parsed->count("json") > 0);
+    const int out = told(rig::judge(folder, slack_us(*parsed)), parsed->count("json") > 0);
     if (parsed->count("plot") && !rig::plot(folder))
         std::cerr << "sloestackctl: no plot was made: gnuplot failed\n";
     return out;
@@ -109,6 +124,30 @@
     return kGood;
 }
 
+int fleet_compare(const Arguments& arguments) {
+    cxxopts::Options options(
+        "sloestackctl fleet compare",
+        "Means with their 95 % intervals of the reports that bench/fleet.sh left in a folder, and "
+        "the second build against the first on the seeds that both have.");
+    const auto parsed = parse(options, arguments, {"folder", "first", "second"});
+    if (!parsed) return kGood;
+    std::vector<std::string> names = {required(*parsed, "first")};
+    if (parsed->count("second")) names.push_back((*parsed)["second"].as<std::string>());
+    std::string title;
+    for (const auto& row : rig::compare(rig::read_samples(required(*parsed, "folder")), names)) {
+        const auto head = row.scenario + ", " + std::to_string(row.proxies) + " proxies";
+        if (head != title) std::printf("%s%s\n", title.empty() ? "" : "\n", head.c_str());
+        title = head;
+        std::printf("  %-26s", row.figure.c_str());
+        for (const auto& b : row.builds)
+            b.count ? std::printf(" %10.3f +- %-8.3f (%zu)", b.mean, b.half, b.count)
+                    : std::printf(" %10s %-15s", "-", "");
+        if (row.change.count) std::printf("  change %+.3f +- %.3f", row.change.mean, row.change.half);
+        std::printf("\n");
+    }
+    return kGood;
+}
+
 int fleet_part(const Arguments& arguments) {
     cxxopts::Options options("sloestackctl fleet part", "One process of a run; started by fleet run.");
     options.add_options()("role", "discovery, members or clients", cxxopts::value<std::string>())(
--- a/src/app/ctl/main.cpp
+++ b/src/app/ctl/main.cpp
@@ -25,6 +25,7 @@
     {"fleet run", {fleet_run, "play a scenario: many processes of sloestack, faults between them"}},
     {"fleet report", {fleet_report, "judge a run's record anew, and plot it"}},
     {"fleet check", {fleet_check, "say whether a scenario can be played, and what it does when"}},
+    {"fleet compare", {fleet_compare, "compare the reports of two builds, seed by seed"}},
     {"fleet part", {fleet_part, "one process of a run; fleet run starts it"}},
     {"demo", {demo, "start stand-ins and a proxy, play traffic and print what came of it"}},
     {"example-config", {example_config, "print a configuration that sloestack can be started with"}},
--- a/standin/checker.h
+++ b/standin/checker.h
@@ -30,7 +30,8 @@
     std::vector<std::string> broken() const;
     std::uint64_t ran() const { return ran_; }
     std::uint64_t repeats() const { return repeats_; }
-    // Requests that got no answer since their proxy was killed or stood still: no rule is broken by them.
+    // Requests that got no answer since their proxy was killed, stood still or was cut off from
+    // its clients: no rule is broken by them.
     std::uint64_t excused() const;
 
 private:
@@ -40,7 +41,8 @@
         bool late = false;  // an answer, or none, came too late
     };
     struct Outage {
-        Time from = 0, to = 0;  // 0: not over
+        Time from = 0, to = 0;   // 0: not over
+        const char* until = "";  // the word that ends it
     };
     void breaks(const std::string& what);
     void ran(const Event& e);
--- a/standin/event.cpp
+++ b/standin/event.cpp
@@ -17,7 +17,8 @@
                                     {What::drain, "drain"},
                                     {What::back, "back"},
                                     {What::fell, "fell"},
-                                    {What::process, "process"}})
+                                    {What::process, "process"},
+                                    {What::busy, "busy"}})
 
 std::string to_line(const Event& e) {
     nlohmann::json out = {{"at", e.at}, {"what", e.what}};
--- a/standin/event.h
+++ b/standin/event.h
@@ -27,8 +27,10 @@
     drain,     // discovery has told the proxy that the member drains or is gone
     back,      // or is in service
     fell,      // a cold member was pushed over
-    process,   // of a proxy; `word`: started, ready, killed, ended, crashed, stopped, continued
+    process,   // of a proxy; `word`: started, ready, killed, terminating, ended, crashed, stopped, continued;
+               // or of the way to it: "cut off" and "reached" by its clients
     fault,     // begins or ends; `word` says which
+    busy,  // a process of the rig itself: `value` is by how many us a turn came too late at most in a second
 };
 
 struct Event {
--- a/standin/fleet.cpp
+++ b/standin/fleet.cpp
@@ -71,6 +71,7 @@
     std::vector<std::unique_ptr<Peer>> peers;
     std::map<std::uint64_t, std::unique_ptr<Job>> running;
     std::deque<std::unique_ptr<Job>> queue;
+    std::map<std::uint64_t, std::unique_ptr<Job>> held;  // reads that it is too far behind for
     Capacity capacity;
     Time stalled_until = 0, up_since = 0, deposed_at = 0;
     bool silent = false, spoils = false, draining = false, was_primary = false;
@@ -126,6 +127,8 @@
         for (auto& [number, job] : at_.running)
             if (job->peer == this) job->peer = nullptr;
         // What waits and nobody waits for is dropped.
+        for (auto it = at_.held.begin(); it != at_.held.end();)
+            it = it->second->peer == this ? at_.held.erase(it) : std::next(it);
         auto& queue = at_.queue;
         queue.erase(std::remove_if(queue.begin(), queue.end(), [&](auto& job) { return job->peer == this; }),
                     queue.end());
@@ -310,6 +313,7 @@
     m.peers.clear();
     m.running.clear();
     m.queue.clear();
+    m.held.clear();
     m.stalled_until = 0;
 }
 
@@ -518,9 +522,32 @@
         crash(m);
         return m.listing.set(deadlines_, now + settings_.list_late, [this, &m] { changed(m, "terminated"); });
     }
+    const auto bound = kClasses[job->klass].bound_us;
+    if (settings_.checks && bound > 0 && bank.position(m.index, now) < now - bound)
+        return hold_back(m, std::move(job));
     enqueue(m, std::move(job));
 }
 
+void Fleet::hold_back(Member& m, std::unique_ptr<Job> job) {
+    const auto number = ++last_job_;
+    job->ready.set(deadlines_, deadlines_.now() + settings_.patience, [this, &m, number] {
+        const auto found = m.held.find(number);
+        auto kept = std::move(found->second);
+        m.held.erase(found);
+        const Time now = deadlines_.now();
+        const auto position = banks_[static_cast<std::size_t>(m.bank)]->position(m.index, now);
+        if (position >= now - kClasses[kept->klass].bound_us) return enqueue(m, std::move(kept));
+        auto e = event(What::turned, m, kept->proxy);
+        e.id = kept->id;
+        e.word = pgwire::code::kTooFarBehind;
+        witness_.saw(e);
+        auto out = parameters(m, position);
+        pgwire::Builder(out).error("ERROR", pgwire::code::kTooFarBehind, "too far behind").ready();
+        kept->peer->write(out);
+    });
+    m.held.emplace(number, std::move(job));
+}
+
 void Fleet::enqueue(Member& m, std::unique_ptr<Job> job) {
     job->number = ++last_job_;
     m.queue.push_back(std::move(job));
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -32,6 +32,10 @@
     Micros connect_work = 0;                       // what a new connection costs a core
     Micros least_work = 2'000, most_work = 6'000;  // of a read; a write takes 1.7 times as much
     Micros report_every = 100'000;
+    // Whether a member turns away (72000) a read that it is too far behind for, once it has waited so long to
+    // catch up; without, it answers from what it has.
+    bool checks = false;
+    Micros patience = 50'000;
     ColdSettings cold;
     Micros list_late = 900'000;    // from a crash or a return to its listing
     Micros role_late = 3'000'000;  // the same of a new primary
@@ -87,6 +91,7 @@
     void watch_roles();
     void asked(Member& m, Peer& peer, const std::string& statement, Time first_byte);
     void greet(Member& m, Peer& peer);
+    void hold_back(Member& m, std::unique_ptr<Job> job);
     void enqueue(Member& m, std::unique_ptr<Job> job);
     void work(Member& m);
     void done(Member& m, std::uint64_t number);
