--- a/rig/scenario.cpp
+++ b/rig/scenario.cpp
@@ -18,6 +18,9 @@
 namespace {
 
 using nlohmann::json;
+// Longer than a late answer may take, so that the record says how late it was: the rules judge, not the
+// clients.
+constexpr Micros kGrace = 2'000'000;
 constexpr const char* kZones[] = {"walu-bay", "laucala", "nasinu"};
 
 const std::pair<const char*, Do> kNames[] = {
@@ -288,6 +291,7 @@
     out.length_us = s.length_us;
     out.groups = s.fleet.banks;
     out.notice = s.notice_us;
+    out.grace = kGrace;
     out.seed = standin::mixed(plan.seed, "load");
     for (int p = 0; p < s.proxies; ++p) {
         out.proxies.push_back(at(block, p, kProxyPort));
--- a/standin/load.h
+++ b/standin/load.h
@@ -42,6 +42,7 @@
     double uneven = 1;                   // a proxy's share lies between one of it and so many times the mean
     std::vector<sockaddr_in> proxies;    // all there are
     std::vector<int> homes;              // those whose clients these are
+    Micros grace = 300'000;              // how long beyond its time a client still takes an answer
     Micros notice = 1'000'000;           // from a proxy's silence until the front sends nothing there
 };
 
