Start every child by rig/process, and carry out each edge's step by one piece of code

Written twice: ctl/rig forked, signalled and reaped its proxy as rig/process does; the three parts each had the same loop over an edge's step; the answer that turns a statement away, the reading of a file and a member's zone stood in two places each.

Change: one place for each. No behaviour, bound or test is touched; nothing that serves is.

--- a/rig/conductor.cpp
+++ b/rig/conductor.cpp
@@ -187,12 +187,12 @@
     proxy.back_at = 0;
     seen(number, "started");
     static const standin::Edge clear;
-    proxy.readiness = std::make_unique<standin::Readiness>(
-        standin::Line::Host{loop_, deadlines_, random_}, clear,
-        load_settings(run_.plan, run_.block, 0, 1).proxies[static_cast<std::size_t>(number)], [this, number] {
-            proxies_[static_cast<std::size_t>(number)]->ready = true;
-            seen(number, "ready");
-        });
+    proxy.readiness =
+        std::make_unique<standin::Readiness>(standin::Line::Host{loop_, deadlines_, random_}, clear,
+                                             proxy_address(run_.block, number), [this, number] {
+                                                 proxies_[static_cast<std::size_t>(number)]->ready = true;
+                                                 seen(number, "ready");
+                                             });
 }
 
 void Conductor::reap() {
--- a/rig/folder.cpp
+++ b/rig/folder.cpp
@@ -6,9 +6,8 @@
 #include <stdexcept>
 
 namespace rig {
-namespace {
 
-std::string text_of(const std::string& path) {
+std::string read_text(const std::string& path) {
     std::ifstream in(path);
     std::ostringstream out;
     out << in.rdbuf();
@@ -16,8 +15,6 @@
     return out.str();
 }
 
-}  // namespace
-
 void write_run(const std::string& folder, const Run& run) {
     std::ofstream scenario(folder + "/scenario.json"), out(folder + "/run.json");
     scenario << run.plan.scenario.text;
@@ -34,11 +31,11 @@
 }
 
 Run read_run(const std::string& folder) {
-    const auto json = nlohmann::json::parse(text_of(folder + "/run.json"), nullptr, false);
+    const auto json = nlohmann::json::parse(read_text(folder + "/run.json"), nullptr, false);
     try {
         Run run;
         const auto scenario =
-            Scenario::read(text_of(folder + "/scenario.json"), json.at("proxies").get<int>());
+            Scenario::read(read_text(folder + "/scenario.json"), json.at("proxies").get<int>());
         run.plan = draw(scenario, json.at("seed").get<std::uint64_t>());
         run.block = json.at("block").get<int>();
         run.member_parts = json.at("member_parts").get<int>();
--- a/rig/folder.h
+++ b/rig/folder.h
@@ -14,6 +14,7 @@
     Time begins = 0;  // 0: it has not begun
 };
 
+std::string read_text(const std::string& path);             // throws std::invalid_argument
 void write_run(const std::string& folder, const Run& run);  // throws std::runtime_error
 Run read_run(const std::string& folder);                    // throws std::invalid_argument
 
--- a/rig/part.cpp
+++ b/rig/part.cpp
@@ -66,13 +66,20 @@
     virtual void go() {}
     virtual void told(const std::string&) {}
     virtual void turned() {}
-    virtual void begin(const Step&) {}
-    virtual void end(const Step&) {}
-
-    // An edge's condition for the time of a step, and clear again behind it.
-    static void set(standin::Edge& edge, const Step& step, bool on) {
+    virtual void change(const Step&, bool) {}  // a step begins, or ends
+
+    // An edge of `of`, named as it names it, has its condition for the time of a step, and is clear again
+    // behind it.
+    template <class Owner, class... Name>
+    static void apply(Owner& of, const Step& step, bool on, Name... name) {
+        if (step.what == Do::reset) {
+            if (on) of.reset(name...);
+            return;
+        }
+        auto& edge = of.edge(name...);
         if (step.in) edge.in = on ? step.condition : standin::Condition{};
         if (step.out) edge.out = on ? step.condition : standin::Condition{};
+        of.edge_changed(name...);
     }
     static bool of_edge(const Step& step, Ends ends) {
         return step.what >= Do::cut && step.what <= Do::lose && step.edge == ends;
@@ -90,8 +97,8 @@
         if (line.rfind("go ", 0) != 0) return told(line);
         const Time begins = std::stoll(line.substr(3));
         for (const auto& step : run_.plan.steps) {
-            deadlines_.add(begins + step.at_us, [this, &step] { begin(step); });
-            deadlines_.add(begins + step.end_us, [this, &step] { end(step); });
+            deadlines_.add(begins + step.at_us, [this, &step] { change(step, true); });
+            deadlines_.add(begins + step.end_us, [this, &step] { change(step, false); });
         }
         start_.set(deadlines_, begins, [this] { go(); });
     }
@@ -122,23 +129,14 @@
     void told(const std::string& line) override {
         discovery_.update(listed_from(nlohmann::json::parse(line)));
     }
-    void begin(const Step& step) override { change(step, true); }
-    void end(const Step& step) override { change(step, false); }
-    void change(const Step& step, bool on) {
+    void change(const Step& step, bool on) override {
         using State = standin::Discovery::State;
         if (step.what == Do::discovery_slow) discovery_.slow(on ? step.slow_times : 1);
         if (step.what == Do::discovery_empty) discovery_.set(on ? State::empty : State::up);
         if (step.what == Do::discovery_behind) discovery_.set(on ? State::behind : State::up);
         if (step.what == Do::discovery_gone) discovery_.set(on ? State::gone : State::up);
         if (!of_edge(step, Ends::discovery)) return;
-        for (const int p : step.proxies) {
-            if (step.what == Do::reset) {
-                if (on) discovery_.reset(p);
-                continue;
-            }
-            set(discovery_.edge(p), step, on);
-            discovery_.edge_changed(p);
-        }
+        for (const int p : step.proxies) apply(discovery_, step, on, p);
     }
     standin::Discovery discovery_;
 };
@@ -152,12 +150,10 @@
           part_(part) {}
 
 private:
-    void begin(const Step& step) override { change(step, true); }
-    void end(const Step& step) override { change(step, false); }
     bool mine(int member) const {
         return member / run_.plan.scenario.fleet.members % run_.member_parts == part_;
     }
-    void change(const Step& step, bool on) {
+    void change(const Step& step, bool on) override {
         const auto trouble = trouble_of(step.what);
         if (trouble)
             for (const int m : step.members) {
@@ -171,14 +167,7 @@
         if (!of_edge(step, Ends::members)) return;
         for (const int m : step.members) {
             if (!mine(m)) continue;
-            for (const int p : step.proxies) {
-                if (step.what == Do::reset) {
-                    if (on) fleet_.reset(p, m);
-                    continue;
-                }
-                set(fleet_.edge(p, m), step, on);
-                fleet_.edge_changed(p, m);
-            }
+            for (const int p : step.proxies) apply(fleet_, step, on, p, m);
         }
     }
     static std::optional<standin::Trouble> trouble_of(Do what) {
@@ -218,21 +207,13 @@
         told_over_ = true;
         channel_.say("over");
     }
-    void begin(const Step& step) override { change(step, true); }
-    void end(const Step& step) override { change(step, false); }
-    void change(const Step& step, bool on) {
+    void change(const Step& step, bool on) override {
         if (!load_ || !of_edge(step, Ends::clients)) return;
         for (const int p : step.proxies) {
             // What was out when it began, or comes while it lasts, may never be answered: the proxy's no
             // more.
-            if (on && (step.what == Do::cut || step.what == Do::reset)) tell(p, "cut off");
-            if (!on && (step.what == Do::cut || step.what == Do::reset)) tell(p, "reached");
-            if (step.what == Do::reset) {
-                if (on) load_->reset(p);
-                continue;
-            }
-            set(load_->edge(p), step, on);
-            load_->edge_changed(p);
+            if (step.what == Do::cut || step.what == Do::reset) tell(p, on ? "cut off" : "reached");
+            apply(*load_, step, on, p);
         }
     }
     // One part alone tells it.
--- a/rig/process.cpp
+++ b/rig/process.cpp
@@ -37,9 +37,11 @@
     // However this program ends, its children do not outlive it.
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (getppid() != parent) _exit(127);
-    const int out = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
-    dup2(out, STDOUT_FILENO);
-    dup2(out, STDERR_FILENO);
+    if (!command.shown) {
+        const int out = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
+        dup2(out, STDOUT_FILENO);
+        dup2(out, STDERR_FILENO);
+    }
     if (command.channel >= 0) dup2(command.channel, kChannel);
     close_range(command.channel >= 0 ? kChannel + 1 : kChannel, ~0u, 0);
     execve(words.front(), const_cast<char**>(words.data()), const_cast<char**>(variables.data()));
--- a/rig/process.h
+++ b/rig/process.h
@@ -14,6 +14,7 @@
     std::vector<std::string> variables;  // NAME=value; nothing else is passed on
     std::string log;                     // standard output and error are added to it; empty: thrown away
     int channel = -1;                    // becomes descriptor 3
+    bool shown = false;                  // its output goes where this program's goes, and to no log
 };
 
 class Process {
--- a/rig/scenario.cpp
+++ b/rig/scenario.cpp
@@ -99,10 +99,6 @@
     return out;
 }
 
-int member_zone(const Scenario& s, int member) {
-    return (member % s.fleet.members + member / s.fleet.members) % s.zones;
-}
-
 // The steps of one fault: as many as it has waves and times, and one a process where they end apart.
 void draw(const Scenario& s, const json& fault, standin::Random& random, std::vector<Step>& out) {
     Step step;
@@ -130,7 +126,7 @@
         }
         step.members = chosen(
             wanted, "member_list", "member_zone", "member_share", s.fleet.banks * s.fleet.members,
-            [&](int m) { return member_zone(s, m); }, random);
+            [&](int m) { return standin::Fleet::zone_of(s.fleet, m); }, random);
     }
     auto& c = step.condition;
     c.cut = step.what == Do::cut;
@@ -260,6 +256,8 @@
 
 Micros Plan::first_fault_us() const { return steps.empty() ? scenario.length_us : steps.front().at_us; }
 
+sockaddr_in proxy_address(int block, int proxy) { return at(block, proxy, kProxyPort); }
+
 standin::DiscoverySettings discovery_settings(const Scenario& s, int block) {
     standin::DiscoverySettings out;
     for (int p = 0; p < s.proxies; ++p) {
@@ -294,7 +292,7 @@
     out.grace = kGrace;
     out.seed = standin::mixed(plan.seed, "load");
     for (int p = 0; p < s.proxies; ++p) {
-        out.proxies.push_back(at(block, p, kProxyPort));
+        out.proxies.push_back(proxy_address(block, p));
         if (p % parts == part) out.homes.push_back(p);
     }
     return out;
--- a/rig/scenario.h
+++ b/rig/scenario.h
@@ -74,6 +74,7 @@
 // ---- addresses: all of them within 127.`block`.0.0/16 ----
 constexpr std::uint16_t kProxyPort = 5433, kDiscoveryPort = 8500, kFirstMemberPort = 10'000;
 std::string host_of(int block, int proxy);  // of a proxy, and where it reaches everything else
+sockaddr_in proxy_address(int block, int proxy);
 standin::DiscoverySettings discovery_settings(const Scenario& scenario, int block);
 standin::FleetSettings fleet_settings(const Plan& plan, int block, int part, int parts);
 standin::LoadSettings load_settings(const Plan& plan, int block, int part, int parts);
--- a/rig/tally.h
+++ b/rig/tally.h
@@ -2,7 +2,6 @@
 // service. Pure: events go in by time.
 #pragma once
 
-#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
--- a/src/app/ctl/fleet.cpp
+++ b/src/app/ctl/fleet.cpp
@@ -4,13 +4,12 @@
 
 #include <cstdio>
 #include <filesystem>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include "ctl/command.h"
 #include "rig/compare.h"
 #include "rig/conductor.h"
+#include "rig/folder.h"
 #include "rig/part.h"
 #include "rig/report.h"
 
@@ -19,14 +18,6 @@
 
 constexpr int kMostProxies = 1000;
 
-std::string read_file(const std::string& path) {
-    std::ifstream in(path);
-    std::ostringstream out;
-    out << in.rdbuf();
-    if (!in) throw BadCall("cannot read " + path);
-    return out.str();
-}
-
 // A folder of the caller's, which must be new or empty, or one of its own.
 std::string folder_of(const cxxopts::ParseResult& parsed) {
     if (!parsed.count("out")) {
@@ -81,7 +72,7 @@
     if (parsed->count("proxies") && (proxies < 1 || proxies > kMostProxies))
         throw BadCall("--proxies must lie between 1 and " + std::to_string(kMostProxies));
     rig::RunSettings settings;
-    settings.plan = rig::draw(rig::Scenario::read(read_file(required(*parsed, "file")), proxies),
+    settings.plan = rig::draw(rig::Scenario::read(rig::read_text(required(*parsed, "file")), proxies),
                               (*parsed)["seed"].as<std::uint64_t>());
     settings.proxy = parsed->count("program")
                          ? (*parsed)["program"].as<std::string>()
@@ -116,7 +107,7 @@
     options.add_options()("seed", "of faults and draws", cxxopts::value<std::uint64_t>()->default_value("1"));
     const auto parsed = parse(options, arguments, {"file"});
     if (!parsed) return kGood;
-    const auto plan = rig::draw(rig::Scenario::read(read_file(required(*parsed, "file"))),
+    const auto plan = rig::draw(rig::Scenario::read(rig::read_text(required(*parsed, "file"))),
                                 (*parsed)["seed"].as<std::uint64_t>());
     for (const auto& step : plan.steps)
         std::printf("%8.3f to %8.3f s: %s\n", static_cast<double>(step.at_us) / 1e6,
--- a/src/app/ctl/rig.cpp
+++ b/src/app/ctl/rig.cpp
@@ -1,8 +1,6 @@
 #include "ctl/rig.h"
 
 #include <arpa/inet.h>
-#include <fcntl.h>
-#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -77,21 +75,14 @@
                                        [&ready] { ready = true; });
     const auto hopeless = deadlines_.now() + kComesUp;
     run([&] {
-        int status = 0;
-        if (child_ > 0 && waitpid(child_, &status, WNOHANG) == child_) {
-            child_ = -1;
+        if (process_.ended())
             throw std::runtime_error("the proxy ended before it was ready; --verbose shows its log");
-        }
         if (deadlines_.now() > hopeless) throw std::runtime_error("the proxy does not answer");
         return ready;
     });
 }
 
 Rig::~Rig() {
-    if (child_ > 0) {
-        ::kill(child_, SIGKILL);
-        waitpid(child_, nullptr, 0);
-    }
     std::error_code ignored;
     if (!folder_.empty()) std::filesystem::remove_all(folder_, ignored);
 }
@@ -103,31 +94,18 @@
 }
 
 void Rig::start() {
-    const auto program =
-        (std::filesystem::read_symlink("/proc/self/exe").parent_path() / "sloestack").string();
-    const auto variable = "EDGE_CONFIG=" + folder_ + "/config.json";
-    child_ = fork();
-    if (child_ < 0) throw std::runtime_error("the proxy cannot be started");
-    if (child_ > 0) return;
-    prctl(PR_SET_PDEATHSIG, SIGKILL);  // however this program ends, the proxy does not outlive it
-    if (!settings_.verbose) {
-        const int none = open("/dev/null", O_WRONLY);
-        dup2(none, STDERR_FILENO);
-        dup2(none, STDOUT_FILENO);
-    }
-    // Of this program's descriptors it needs none.
-    close_range(3, ~0u, 0);
-    const char* words[] = {program.c_str(), "serve", nullptr};
-    const char* variables[] = {variable.c_str(), nullptr};
-    execve(program.c_str(), const_cast<char**>(words), const_cast<char**>(variables));
-    _exit(127);
+    rig::Command command;
+    command.words = {(std::filesystem::path(rig::this_program()).parent_path() / "sloestack").string(),
+                     "serve"};
+    command.variables = {"EDGE_CONFIG=" + folder_ + "/config.json"};
+    command.shown = settings_.verbose;
+    process_.start(command);
 }
 
 void Rig::kill_for(Micros down_for) {
-    if (child_ <= 0) return;
-    ::kill(child_, SIGKILL);
-    waitpid(child_, nullptr, 0);
-    child_ = -1;
+    if (!process_.running()) return;
+    process_.signal(SIGKILL);
+    process_.wait();
     again_.set(deadlines_, deadlines_.now() + down_for, [this] { start(); });
 }
 
@@ -147,28 +125,13 @@
 }
 
 bool Rig::stop() {
-    if (child_ <= 0) return false;
-    ::kill(child_, SIGTERM);
+    if (!process_.running()) return false;
+    process_.signal(SIGTERM);
     for (int i = 0; i < kStopsWithin; ++i) {
-        int status = 0;
-        if (waitpid(child_, &status, WNOHANG) == child_) {
-            child_ = -1;
-            return WIFEXITED(status) && WEXITSTATUS(status) == 0;
-        }
+        if (const auto status = process_.ended()) return WIFEXITED(*status) && WEXITSTATUS(*status) == 0;
         turn();
     }
     return false;
 }
 
-std::int64_t Rig::resident_kb() const {
-    std::ifstream in("/proc/" + std::to_string(child_) + "/status");
-    for (std::string word; in >> word;)
-        if (word == "VmRSS:") {
-            std::int64_t out = 0;
-            in >> out;
-            return out;
-        }
-    return 0;
-}
-
 }  // namespace sloestack::ctl
--- a/src/app/ctl/rig.h
+++ b/src/app/ctl/rig.h
@@ -2,14 +2,13 @@
 // program itself, started as a child beside this one, so that it can be killed and started again.
 #pragma once
 
-#include <sys/types.h>
-
 #include <functional>
 #include <memory>
 #include <string>
 
 #include "deadlines/deadlines.h"
 #include "net/loop.h"
+#include "rig/process.h"
 #include "standin/checker.h"
 #include "standin/fleet.h"
 
@@ -41,7 +40,7 @@
     void run(const std::function<bool()>& until, const std::function<void()>& work = {});
     // SIGTERM, and whether the proxy then ended with 0.
     bool stop();
-    std::int64_t resident_kb() const;  // the proxy's, 0 where it cannot be told
+    std::int64_t resident_kb() const { return process_.resident_kb(); }  // 0 where it cannot be told
 
 private:
     void start();
@@ -58,7 +57,7 @@
     Deadline lost_, found_;
     sockaddr_in address_{};
     std::string folder_;
-    pid_t child_ = -1;
+    rig::Process process_;
     Deadline again_;
 };
 
--- a/standin/fleet.cpp
+++ b/standin/fleet.cpp
@@ -208,20 +208,25 @@
     return index < 0 ? -1 : bank * settings_.members + index;
 }
 
+int Fleet::zone_of(const FleetSettings& settings, int member) {
+    return (member % settings.members + member / settings.members) % static_cast<int>(settings.zones.size());
+}
+
+Listed Fleet::first_listed(const FleetSettings& settings, int member) {
+    Listed l;
+    l.member = member;
+    l.group = member / settings.members;
+    l.primary = member % settings.members == 0;
+    l.name = name_of(member);
+    l.zone = settings.zones[static_cast<std::size_t>(zone_of(settings, member))];
+    l.port = static_cast<std::uint16_t>(settings.first_port ? settings.first_port + member : 0);
+    return l;
+}
+
 std::vector<Listed> Fleet::first_list(const FleetSettings& settings) {
     std::vector<Listed> out;
-    for (int number = 0; number < settings.banks * settings.members; ++number) {
-        Listed l;
-        l.member = number;
-        l.group = number / settings.members;
-        l.primary = number % settings.members == 0;
-        l.name = name_of(number);
-        l.zone =
-            settings
-                .zones[static_cast<std::size_t>(number % settings.members + l.group) % settings.zones.size()];
-        l.port = static_cast<std::uint16_t>(settings.first_port ? settings.first_port + number : 0);
-        out.push_back(std::move(l));
-    }
+    for (int member = 0; member < settings.banks * settings.members; ++member)
+        out.push_back(first_listed(settings, member));
     return out;
 }
 
@@ -250,7 +255,7 @@
 }
 
 void Fleet::tell(const Member& m) {
-    auto l = first_list(settings_)[static_cast<std::size_t>(m.bank * settings_.members + m.index)];
+    auto l = first_listed(settings_, m.bank * settings_.members + m.index);
     l.member = number_of(m);
     l.name = m.name;
     l.phase = m.phase;
@@ -448,6 +453,16 @@
     return out;
 }
 
+void Fleet::turn_away(Member& m, Peer& peer, const std::string& id, std::string_view code, const char* why) {
+    auto e = event(What::turned, m, peer.proxy());
+    e.id = id;
+    e.word = code;
+    witness_.saw(e);
+    auto out = parameters(m, banks_[static_cast<std::size_t>(m.bank)]->position(m.index, deadlines_.now()));
+    pgwire::Builder(out).error("ERROR", code, why).ready();
+    peer.write(out);
+}
+
 // A new connection costs the member work before it can be used.
 void Fleet::greet(Member& m, Peer& peer) {
     std::string out;
@@ -467,15 +482,6 @@
     const Time now = deadlines_.now();
     auto& bank = *banks_[static_cast<std::size_t>(m.bank)];
     auto job = std::make_unique<Job>();
-    const auto turn_away = [&](std::string_view code, const char* why) {
-        auto e = event(What::turned, m, peer.proxy());
-        e.id = job->id;
-        e.word = code;
-        witness_.saw(e);
-        auto out = parameters(m, bank.position(m.index, now));
-        pgwire::Builder(out).error("ERROR", code, why).ready();
-        peer.write(out);
-    };
     if (statement == "SHOW load" || statement == "SELECT 1") {
         ++probes_;
         witness_.saw(event(What::probed, m, peer.proxy()));
@@ -494,9 +500,10 @@
         job->klass = class_named(tags.klass);
         job->not_after = now + tags.left_ms * 1000;
     } catch (const pgwire::BadMessage& error) {
-        return turn_away(pgwire::code::kProtocolViolation, error.what());
+        return turn_away(m, peer, job->id, pgwire::code::kProtocolViolation, error.what());
     }
-    if (job->klass < 0) return turn_away(pgwire::code::kProtocolViolation, "a class that nobody knows");
+    if (job->klass < 0)
+        return turn_away(m, peer, job->id, pgwire::code::kProtocolViolation, "a class that nobody knows");
     ++attempts_;
     auto e = event(What::arrived, m, peer.proxy());
     e.id = job->id;
@@ -504,9 +511,10 @@
     e.since = first_byte;
     witness_.saw(e);
     if (kClasses[job->klass].write && bank.primary(now) != m.index)
-        return turn_away(pgwire::code::kReadOnly, "no primary");
-    if (m.draining) return turn_away(pgwire::code::kTooManyConnections, "draining");
-    if (m.queue.size() >= settings_.queue) return turn_away(pgwire::code::kTooManyConnections, "queue full");
+        return turn_away(m, peer, job->id, pgwire::code::kReadOnly, "no primary");
+    if (m.draining) return turn_away(m, peer, job->id, pgwire::code::kTooManyConnections, "draining");
+    if (m.queue.size() >= settings_.queue)
+        return turn_away(m, peer, job->id, pgwire::code::kTooManyConnections, "queue full");
     Random random(mixed(settings_.seed, job->id));
     auto takes = static_cast<double>(random.between(settings_.least_work, settings_.most_work));
     if (kClasses[job->klass].write) takes *= kWriteWork;
@@ -537,13 +545,7 @@
         const Time now = deadlines_.now();
         const auto position = banks_[static_cast<std::size_t>(m.bank)]->position(m.index, now);
         if (position >= now - kClasses[kept->klass].bound_us) return enqueue(m, std::move(kept));
-        auto e = event(What::turned, m, kept->proxy);
-        e.id = kept->id;
-        e.word = pgwire::code::kTooFarBehind;
-        witness_.saw(e);
-        auto out = parameters(m, position);
-        pgwire::Builder(out).error("ERROR", pgwire::code::kTooFarBehind, "too far behind").ready();
-        kept->peer->write(out);
+        turn_away(m, *kept->peer, kept->id, pgwire::code::kTooFarBehind, "too far behind");
     });
     m.held.emplace(number, std::move(job));
 }
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -59,8 +59,10 @@
     Fleet(const Fleet&) = delete;
     Fleet& operator=(const Fleet&) = delete;
 
+    static int zone_of(const FleetSettings& settings, int member);  // an index into its zones
     // How the list begins: all members in service, the first of each bank its primary.
     static std::vector<Listed> first_list(const FleetSettings& settings);
+    static Listed first_listed(const FleetSettings& settings, int member);  // one of it
     std::vector<Listed> list() const;  // of this fleet's own members, with their ports
 
     // Begins or ends what has gone wrong; `member` is -1 for none.
@@ -90,6 +92,7 @@
     void tell(const Member& m);
     void watch_roles();
     void asked(Member& m, Peer& peer, const std::string& statement, Time first_byte);
+    void turn_away(Member& m, Peer& peer, const std::string& id, std::string_view code, const char* why);
     void greet(Member& m, Peer& peer);
     void hold_back(Member& m, std::unique_ptr<Job> job);
     void enqueue(Member& m, std::unique_ptr<Job> job);
