Let no read that must be new go to a primary that only an old list names; sessions in the rig

To blame: Router::meets took the group's primary for new enough whoever had named it, and choose() took it for fresh reads without asking at all.

Change: reads take a primary's data for the present only once it has said itself that it is one, where members do not check reads and probes tell of roles (route/comeback); until then it is probed as a lost one is. Where members check (the operators' do) nothing changes.

The rig's clients can have sessions, which keep to their proxy or carry their last commit; the checker judges that they see what they wrote, tested on wrong histories. Reports count the connections that nobody could do without.

--- a/rig/conductor.cpp
+++ b/rig/conductor.cpp
@@ -166,8 +166,9 @@
     config["settings"]["rank"] = number;
     config["settings"]["zone"] = zone_of(s, number);
     config["settings"]["azs"] = s.fleet.zones;
-    config["settings"]["specifics"]["checks"] = "await";
+    config["settings"]["specifics"]["checks"] = s.fleet.checks ? "await" : "none";
     config["settings"]["specifics"]["patience-us"] = s.fleet.patience;
+    if (s.sessions.share > 0) standin::add_sessions(config, s.sessions.brought);
     std::ofstream out(config_path(number));
     out << config.dump();
     out.close();
--- a/rig/report.cpp
+++ b/rig/report.cpp
@@ -49,7 +49,8 @@
 }
 
 Tally tallied(const Run& run, const std::vector<standin::Event>& events) {
-    Tally out(run.plan.scenario.proxies, run.begins, run.plan.scenario.length_us);
+    const auto& s = run.plan.scenario;
+    Tally out(s.proxies, run.begins, s.length_us, s.fleet.members);
     for (const auto& e : events) out.saw(e);
     return out;
 }
@@ -109,6 +110,7 @@
             {"out_of_service_s", static_cast<double>(back.worst_bins) * kBin / 1e6},
             {"attempts", to_json(back.attempts)},
             {"links", to_json(back.links)},
+            {"links_needed", to_json(back.links_needed)},
             {"calls", to_json(back.calls)},
             {"probes", to_json(back.probes)},
             {"requests", back.requests},
@@ -151,8 +153,8 @@
         r["full_after_s"].is_null() ? std::printf("not again in this run")
                                     : std::printf("%.1f s after it", r["full_after_s"].get<double>());
         std::printf(", %.1f s out of it\n", r["out_of_service_s"].get<double>());
-        for (const char* kind : {"attempts", "links", "calls", "probes"})
-            std::printf("%-9s %8.1f a second before, %8.1f at most: %.2f times\n", kind,
+        for (const char* kind : {"attempts", "links", "links_needed", "calls", "probes"})
+            std::printf("%-12s %8.1f a second before, %8.1f at most: %.2f times\n", kind,
                         r[kind]["steady"].get<double>(), r[kind]["highest"].get<double>(),
                         r[kind]["overshoot"].get<double>());
     }
--- a/rig/scenario.cpp
+++ b/rig/scenario.cpp
@@ -226,9 +226,14 @@
     f.most_work = from_ms(member, "most_work_ms", 73);
     if (f.most_work < f.least_work)
         throw std::invalid_argument("scenario: member.most_work_ms is less than least_work_ms");
-    f.checks = true;  // as the operators' members do
+    f.checks = member.value("checks", true);  // as the operators' members do
     f.cold.from = member.value("cold_from", 0.29);
     f.cold.warm_after = from_s(member, "warm_after_s", 18);
+    const auto sessions = file.value("sessions", json::object());
+    s.sessions.share = sessions.value("share", 0.0);
+    s.sessions.writes = sessions.value("writes", 0.3);
+    s.sessions.each = sessions.value("each", 20);
+    s.sessions.brought = sessions.value("marks", "kept") == "brought";
     const auto discovery = file.value("discovery", json::object());
     s.call_us = from_ms(discovery, "call_ms", 2);
     s.entry_us = static_cast<Micros>(discovery.value("entry_us", 20.0));
@@ -288,6 +293,7 @@
     out.uneven = s.uneven;
     out.length_us = s.length_us;
     out.groups = s.fleet.banks;
+    out.sessions = s.sessions;
     out.notice = s.notice_us;
     out.grace = kGrace;
     out.seed = standin::mixed(plan.seed, "load");
--- a/rig/scenario.h
+++ b/rig/scenario.h
@@ -54,6 +54,7 @@
     double rate_per_s = 10, uneven = 1;
     Micros steady_from_us = 0, length_us = 0, notice_us = 1'000'000;
     standin::FleetSettings fleet;
+    standin::SessionSettings sessions;
     Micros call_us = 0, entry_us = 0, longest_queue_us = 0;
     std::string text;  // as it was read
 
--- a/rig/tally.cpp
+++ b/rig/tally.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
+
+#include "standin/fleet.h"
 
 namespace rig {
 namespace {
@@ -22,12 +25,16 @@
     requests += o.requests, in_aim += o.in_aim, answers += o.answers, refused += o.refused;
     failed += o.failed, none += o.none, unsent += o.unsent, attempts += o.attempts, turned += o.turned;
     links += o.links, links_refused += o.links_refused, probes += o.probes;
+    links_needed += o.links_needed;
     calls += o.calls, calls_failed += o.calls_failed, up += o.up;
     return *this;
 }
 
-Tally::Tally(int proxies, Time begins, Micros length)
+Tally::Tally(int proxies, Time begins, Micros length, int members, Micros idle)
     : begins_(begins),
+      members_(members),
+      idle_(idle),
+      banks_(static_cast<std::size_t>(proxies)),
       bins_(static_cast<std::size_t>(proxies),
             std::vector<Bin>(static_cast<std::size_t>((length + kBin - 1) / kBin))),
       latencies_(bins_.front().size()) {}
@@ -39,12 +46,19 @@
     return i < of.size() ? &of[i] : nullptr;
 }
 
+bool Tally::needs_link(const standin::Event& e) {
+    auto& last = banks_[static_cast<std::size_t>(e.proxy)][e.member % standin::kGeneration / members_];
+    return std::exchange(last, e.at) + idle_ < e.at;
+}
+
 void Tally::saw(const standin::Event& e) {
     if (e.what == What::process) {
         const bool up = e.word == "ready" || e.word == "continued";
         const bool down =
             e.word == "killed" || e.word == "ended" || e.word == "crashed" || e.word == "stopped";
-        if (!(up || down) || e.proxy < 0 || static_cast<std::size_t>(e.proxy) >= bins_.size()) return;
+        if (e.proxy < 0 || static_cast<std::size_t>(e.proxy) >= bins_.size()) return;
+        if (e.word == "started") banks_[static_cast<std::size_t>(e.proxy)].clear();
+        if (!(up || down)) return;
         auto& of = bins_[static_cast<std::size_t>(e.proxy)];
         const auto from = static_cast<std::size_t>(std::max<Time>(0, e.at - begins_) / kBin);
         for (std::size_t i = from; i < of.size(); ++i) of[i].up = up;
@@ -76,6 +90,7 @@
             return;
         case What::arrived:
             ++b->attempts;
+            if (needs_link(e)) ++b->links_needed;
             return;
         case What::turned:
             ++b->turned;
@@ -183,6 +198,7 @@
     };
     out.attempts = kind([](const Bin& b) { return b.attempts; });
     out.links = kind([](const Bin& b) { return b.links; });
+    out.links_needed = kind([](const Bin& b) { return b.links_needed; });
     out.calls = kind([](const Bin& b) { return b.calls; });
     out.probes = kind([](const Bin& b) { return b.probes; });
     Bin after;
--- a/rig/tally.h
+++ b/rig/tally.h
@@ -23,6 +23,9 @@
     // By the time of the event.
     std::uint64_t answers = 0, refused = 0, failed = 0, none = 0, unsent = 0;  // of each try
     std::uint64_t attempts = 0, turned = 0, links = 0, links_refused = 0, probes = 0;
+    // Connections that nobody could do without who sends each request on as it comes: a process's first to a
+    // bank, or its first there since one that stood idle so long was closed.
+    std::uint64_t links_needed = 0;
     std::uint64_t calls = 0, calls_failed = 0;
     int up = 0;  // 1 while it is ready; of all of them: how many are
     Bin& operator+=(const Bin& other);
@@ -39,14 +42,15 @@
     struct Kind {
         double steady = 0, highest = 0;
         double overshoot() const { return steady > 0 ? highest / steady : 0; }
-    } attempts, links, calls, probes;
+    } attempts, links, links_needed, calls, probes;
     std::uint64_t refused = 0, failed = 0, none = 0, unsent = 0, requests = 0,
                   in_aim = 0;  // from the fault on
 };
 
 class Tally {
 public:
-    Tally(int proxies, Time begins, Micros length);
+    // `members` are in a bank; links that stand idle for `idle` are closed.
+    Tally(int proxies, Time begins, Micros length, int members = 1, Micros idle = 15'000'000);
     void saw(const standin::Event& event);
 
     const std::vector<Bin>& of(int proxy) const { return bins_.at(static_cast<std::size_t>(proxy)); }
@@ -64,8 +68,12 @@
 
 private:
     Bin* bin(int proxy, Time at);
+    bool needs_link(const standin::Event& arrived);
 
     Time begins_;
+    int members_;
+    Micros idle_;
+    std::vector<std::map<int, Time>> banks_;  // by process: when it last sent to a bank
     std::vector<std::vector<Bin>> bins_;
     std::vector<std::vector<std::int32_t>> latencies_;  // by bin of the first arrival, us
     std::map<std::pair<int, std::string>, std::uint64_t> ends_;
--- a/src/app/ctl/rehearse.cpp
+++ b/src/app/ctl/rehearse.cpp
@@ -159,7 +159,7 @@
     if (!quiet)
         std::printf("%-14s %8s %8s %8s %8s %8s %8s %8s %8s\n", "class", "asked", "served", "in time",
                     "refused", "failed", "retries", "p50 ms", "p99 ms");
-    for (int k = 0; k < standin::kClassCount; ++k) {
+    for (int k = 0; k < standin::kRosterClasses; ++k) {
         const auto& c = clients.count(k);
         classes[standin::kClasses[k].name] = {
             {"asked", c.asked},     {"served", c.served},
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -535,11 +535,13 @@
             it = past ? marks_.erase(it) : std::next(it);
         }
     }
+    // Whether reads may take its data for the present.
+    bool proven(const Server& p) const { return p.role == Role::primary || comeback_.believes_listed(); }
     bool meets(const Server& s, const Request& r) const {
         const auto& c = klass(r);
         if (c.need == Need::any) return true;
         const auto& g = groups_.at(s.group);
-        if (g.primary == s.id) return true;
+        if (g.primary == s.id && (c.need == Need::write || proven(s))) return true;
         if (c.need == Need::write) return false;
         const Time need = c.need == Need::bounded ? now_ - c.staleness_bound_us : r.required;
         if (need <= 0) return true;
@@ -809,7 +811,8 @@
             if (room(*p, r, 1)) return p;
             return r.blocked = is_cold(*p) ? Cause::cold : Cause::no_room, nullptr;
         }
-        if (klass(r).need == Need::fresh && p && !p->ejected && may_use(r, *p) && room(*p, r, 1)) return p;
+        const bool fresh = klass(r).need == Need::fresh && p && !p->ejected && proven(*p);
+        if (fresh && may_use(r, *p) && room(*p, r, 1)) return p;
         return choose_for_read(g, r);
     }
     Server* choose_for_read(Group& g, Request& r) {
@@ -896,15 +899,10 @@
         int looked = 0;
         for (std::size_t i = 0; i < queue.size() && looked < kScanMost; ++looked) {
             auto* found = find_request(queue[i]);
-            bool gone = !found || !found->queued;
-            if (!gone && now_ >= found->hold_until) {
-                give_up(*found, found->blocked);
-                gone = true;
-            } else if (!gone) {
-                auto* s = choose(*found);
-                gone = s && send(*found, *s, 0);
-            }
-            if (gone)
+            const bool left = !found || !found->queued, over = !left && now_ >= found->hold_until;
+            if (over) give_up(*found, found->blocked);
+            auto* s = left || over ? nullptr : choose(*found);
+            if (left || over || (s && send(*found, *s, 0)))
                 queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(i));
             else
                 ++i;
@@ -927,7 +925,8 @@
         for (auto& [id, g] : groups_) {
             renew_throttle(g);
             if (now_ - g.rated_at > kRateEvery) rate_members(g);
-            if (!g.primary && g.probed_at >= 0 && set_.probes_report && now_ - g.probed_at > probe_every_ &&
+            const bool known = g.primary && proven(servers_[*g.primary]);
+            if (!known && g.probed_at >= 0 && set_.probes_report && now_ - g.probed_at > probe_every_ &&
                 (probe_every_ == kProbeEvery || awaited(g)))
                 probe_all(g, 1);
         }
--- a/src/route/comeback/comeback.cpp
+++ b/src/route/comeback/comeback.cpp
@@ -8,6 +8,8 @@
 Comeback::Comeback(const Settings& settings) {
     const Micros most = settings.ask_every_us > 0 ? std::max(kWait, settings.ask_every_us / 2) : kWaitMost;
     window_ = std::clamp(settings.routers * kCallShare, kWait, most);
+    believes_listed_ =
+        settings.position_check != PositionCheck::none || !(settings.may_probe && settings.probes_report);
 }
 
 Micros Comeback::first_call(double draw) const {
--- a/src/route/comeback/comeback.h
+++ b/src/route/comeback/comeback.h
@@ -20,6 +20,10 @@
     // A call has failed: from now to the next, us.
     Micros call_failed(double draw);
     void call_answered() { wait_ = kWait; }
+    // Whether a member counts as its group's primary for reads because a list says so, before it has said so
+    // itself. The list may be that of before the start, as old as can be: only where members turn away what
+    // they are too far behind for, or where nobody can be asked.
+    bool believes_listed() const { return believes_listed_; }
 
     static constexpr Micros kWait = 700'000;  // us; window of the first call, first wait after a failed one
     static constexpr Micros kWaitMost = 3'000'000;  // us; longest wait, well inside the interval for asking
@@ -28,6 +32,7 @@
 
 private:
     Micros window_, wait_ = kWait;
+    bool believes_listed_;
 };
 
 // Of a watch on the list: how long discovery is to hold the first call, at least 1 ms and at most `full` us,
--- a/standin/checker.cpp
+++ b/standin/checker.cpp
@@ -24,6 +24,10 @@
             if (client.asked++ == 0) client.first_at = e.at;
             client.proxy = e.proxy;
             client.until = std::max(client.until, e.until);
+            if (e.key.empty()) return;
+            client.session = e.key;
+            // Read again with the same id: what it had to see by then, at least.
+            if (kClasses[e.klass].session && client.asked == 1) client.required = sessions_[e.key];
             return;
         }
         case What::answered:
@@ -87,6 +91,14 @@
         breaks("request " + e.id + " was answered" + of_proxy(e.proxy) + " from data " +
                std::to_string((e.until - e.position) / 1000) + " ms old by member " +
                std::to_string(e.member));
+    const auto found = clients_.find(e.id);
+    if (found == clients_.end()) return;
+    auto& client = found->second;
+    if (kClasses[e.klass].write) client.commit = std::max(client.commit, e.position);
+    if (kClasses[e.klass].session && !e.deposed && e.position < client.required)
+        breaks("request " + e.id + " of session " + client.session + " was answered" + of_proxy(e.proxy) +
+               " from data " + std::to_string((client.required - e.position) / 1000) +
+               " ms older than its last write by member " + std::to_string(e.member));
 }
 
 void Checker::answered(const Event& e) {
@@ -102,6 +114,10 @@
         std::find(made->second.begin(), made->second.end(), e.value) == made->second.end())
         breaks("request " + e.id + " was answered" + of_proxy(e.proxy) +
                " with a value that no member made for it");
+    if (!client.session.empty() && kClasses[e.klass].write) {
+        auto& last = sessions_[client.session];
+        last = std::max(last, client.commit);
+    }
 }
 
 // Whether its proxy was killed, stood still or was cut off while the request was out.
--- a/standin/checker.h
+++ b/standin/checker.h
@@ -38,7 +38,10 @@
     struct Client {
         int proxy = -1, asked = 0, answers = 0, attempts = 0;
         Time first_at = 0, until = 0;
-        bool late = false;  // an answer, or none, came too late
+        Time commit = 0;      // a write's
+        std::string session;  // whose read or write it is, empty: nobody's
+        Time required = 0;    // of a session's read: the commit that it has to see
+        bool late = false;    // an answer, or none, came too late
     };
     struct Outage {
         Time from = 0, to = 0;   // 0: not over
@@ -55,6 +58,7 @@
     std::unordered_map<std::string, Client> clients_;
     std::unordered_map<std::string, std::vector<std::uint64_t>> values_;  // by id, as members made them
     std::unordered_map<std::string, int> keys_;                           // how often each has run
+    std::unordered_map<std::string, Time> sessions_;                      // their last answered commit
     std::map<std::pair<int, int>, Time> drains_;                          // by proxy and member
     std::map<int, std::vector<Outage>> outages_;                          // by proxy
     std::vector<std::string> broken_;
--- a/standin/event.h
+++ b/standin/event.h
@@ -38,6 +38,8 @@
     Time at = 0;
     int proxy = -1, member = -1, klass = -1;
     std::string id, key, word;
+    // asked: `key` is the session, where there is one. ran: `key` is the write's own, `position` of a write
+    // is its commit.
     Time since = 0, until = 0, position = 0;
     std::uint64_t value = 0;
     bool last = false;
--- a/standin/fleet.cpp
+++ b/standin/fleet.cpp
@@ -58,7 +58,13 @@
     Micros takes = 0;  // of a warm core
     Time first_byte = 0, last_byte = 0, not_after = 0;
     Time position = 0;
+    Time after = 0;  // its session's last commit; 0: none is told
     Deadline ready;
+    // What the data must be new enough for, as far as the statement tells.
+    Time wants(Time now) const {
+        const auto bound = kClasses[klass].bound_us;
+        return bound > 0 ? now - bound : after;
+    }
 };
 
 struct Fleet::Member {
@@ -499,6 +505,7 @@
         job->key = tags.key;
         job->klass = class_named(tags.klass);
         job->not_after = now + tags.left_ms * 1000;
+        job->after = tags.after_ms.value_or(0) * 1000;
     } catch (const pgwire::BadMessage& error) {
         return turn_away(m, peer, job->id, pgwire::code::kProtocolViolation, error.what());
     }
@@ -530,8 +537,7 @@
         crash(m);
         return m.listing.set(deadlines_, now + settings_.list_late, [this, &m] { changed(m, "terminated"); });
     }
-    const auto bound = kClasses[job->klass].bound_us;
-    if (settings_.checks && bound > 0 && bank.position(m.index, now) < now - bound)
+    if (settings_.checks && bank.position(m.index, now) < job->wants(now))
         return hold_back(m, std::move(job));
     enqueue(m, std::move(job));
 }
@@ -544,7 +550,7 @@
         m.held.erase(found);
         const Time now = deadlines_.now();
         const auto position = banks_[static_cast<std::size_t>(m.bank)]->position(m.index, now);
-        if (position >= now - kClasses[kept->klass].bound_us) return enqueue(m, std::move(kept));
+        if (position >= kept->wants(now)) return enqueue(m, std::move(kept));
         turn_away(m, *kept->peer, kept->id, pgwire::code::kTooFarBehind, "too far behind");
     });
     m.held.emplace(number, std::move(job));
@@ -615,7 +621,7 @@
         const auto written = bank.write(job.key, data_in(job.statement), now);
         if (!written.ran) e.what = What::repeated;
         value = written.value;
-        position = written.commit;
+        e.position = position = written.commit;
     } else {
         value = value_of(code_in(job.statement));
     }
--- a/standin/load.cpp
+++ b/standin/load.cpp
@@ -16,16 +16,27 @@
 constexpr std::size_t kMostUnread = 8 * 1024 * 1024;
 constexpr Micros kNoticeSpread = 4;  // a front notices between a quarter of the time and all of it
 constexpr std::int64_t kLeastBackoff = 12'000, kMostBackoff = 100'000;
+constexpr std::int64_t kCodes = 100'000;
 
 }  // namespace
 
+// A session has one row of its own, in one group.
+void Drawing::draw_session(Question& q) {
+    const auto number = static_cast<std::uint64_t>(random_.between(0, sessions_.each - 1));
+    q.session = true;
+    q.klass = random_.unit() < sessions_.writes ? kWrite : kSessionRead;
+    q.code = hex16(mixed(first_session_ + number, "session"));
+    q.group = static_cast<int>(number % static_cast<std::uint64_t>(groups_));
+}
+
 Question Drawing::next() {
     Question q;
     double at = random_.unit();
-    while (q.klass + 1 < kClassCount && at >= kClasses[q.klass].share) at -= kClasses[q.klass++].share;
+    while (q.klass + 1 < kRosterClasses && at >= kClasses[q.klass].share) at -= kClasses[q.klass++].share;
     q.id = hex16(random_.next());
     q.code = hex16(static_cast<std::uint64_t>(random_.between(0, codes_ - 1)) * 0x9e3779b97f4a7c15u);
     q.group = static_cast<int>(random_.between(0, groups_ - 1));
+    if (sessions_.share > 0 && random_.unit() < sessions_.share) draw_session(q);
     q.left_ms = kClasses[q.klass].patience_us / 1000;
     if (!kClasses[q.klass].write) return q;
     q.key = hex16(random_.next());
@@ -100,7 +111,12 @@
         if (left < 1000)  // not at once: this may be the dialect's own call
             return limit_.set(of_.deadlines_, of_.deadlines_.now(),
                               [this] { ended(sloestack::net::Ending::broken); });
-        asked_->question.left_ms = left / 1000;
+        auto& question = asked_->question;
+        question.left_ms = left / 1000;
+        if (question.klass == kSessionRead && of_.settings_.sessions.brought) {
+            const auto last = of_.committed_.find(question.code);
+            if (last != of_.committed_.end()) question.after_ms = (last->second + 999) / 1000;
+        }
         std::string out;
         pgwire::Builder(out).query(statement_of(asked_->question));
         sent_ = true;
@@ -110,6 +126,7 @@
         e.proxy = proxy_;
         e.klass = asked_->question.klass;
         e.id = asked_->question.id;
+        if (question.session) e.key = question.code;
         e.since = asked_->first_at;
         e.until = until_;
         of_.witness_.saw(e);
@@ -152,7 +169,8 @@
     for (const int proxy : settings.homes) {
         // Each proxy's clients are drawn by its number, whoever else is played in this process.
         const auto seed = mixed(settings.seed, "clients " + std::to_string(proxy));
-        auto home = std::make_unique<Home>(proxy, settings.rate, Drawing(seed, settings.groups), start_);
+        auto home = std::make_unique<Home>(proxy, settings.rate,
+                                           Drawing(seed, settings.groups, kCodes, settings.sessions), start_);
         if (settings.uneven > 1) {
             // Even in the logarithm, with the mean kept: (u - 1/u) / (2 ln u) is the mean of u^[-1, 1].
             const double u = settings.uneven;
@@ -188,7 +206,9 @@
 
 void Load::ask(Asked asked) {
     int to = asked.home;
-    if (!proxies_[static_cast<std::size_t>(to)]->up) {
+    // What a proxy keeps of a session no other knows: such clients wait for theirs.
+    const bool bound = asked.question.session && !settings_.sessions.brought;
+    if (!bound && !proxies_[static_cast<std::size_t>(to)]->up) {
         std::vector<int> others;
         for (std::size_t i = 0; i < proxies_.size(); ++i)
             if (proxies_[i]->up) others.push_back(static_cast<int>(i));
@@ -263,6 +283,8 @@
              : a.kind == Kind::failed  ? "failed"
                                        : "none";
     if (a.kind == Kind::served) e.value = a.digest.low;
+    if (a.kind == Kind::served && model.write && asked.question.session)
+        committed_[asked.question.code] = now;
     witness_.saw(e);
     if (again) {
         ++count.retries;
--- a/standin/load.h
+++ b/standin/load.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -19,24 +20,37 @@
 
 namespace standin {
 
+// Clients that write a row and read it again, and must see what they wrote.
+struct SessionSettings {
+    double share = 0;      // of the requests
+    double writes = 0.3;   // of a session's requests
+    int each = 20;         // sessions of each proxy's own clients
+    bool brought = false;  // the client carries its last commit and may go to any proxy; else it keeps to one
+};
+
 // Draws the next request: class by share, a new id, key and data where it writes. Pure.
 class Drawing {
 public:
-    Drawing(std::uint64_t seed, int groups, std::int64_t codes = 100'000)
-        : random_(seed), groups_(groups), codes_(codes) {}
+    Drawing(std::uint64_t seed, int groups, std::int64_t codes = 100'000, SessionSettings sessions = {})
+        : random_(seed), groups_(groups), codes_(codes), sessions_(sessions), first_session_(seed) {}
     Question next();
     Random& random() { return random_; }
 
 private:
+    void draw_session(Question& question);
+
     Random random_;
     int groups_;
     std::int64_t codes_;
+    SessionSettings sessions_;
+    std::uint64_t first_session_;
 };
 
 struct LoadSettings {
     double rate = 200;  // a second, of each proxy's own clients
     std::int64_t length_us = 10'000'000;
     int groups = 2;
+    SessionSettings sessions;
     std::uint64_t seed = 1;
     std::size_t most_connections = 256;  // to each proxy
     double uneven = 1;                   // a proxy's share lies between one of it and so many times the mean
@@ -106,6 +120,7 @@
     std::vector<std::unique_ptr<Home>> homes_;
     std::vector<std::unique_ptr<sloestack::Deadline>> retries_;
     sloestack::conversation::Memory memory_;
+    std::map<std::string, Time> committed_;  // by session: when its last write was answered
     ClassCount counts_[kClassCount];
 };
 
--- a/standin/settings.cpp
+++ b/standin/settings.cpp
@@ -8,7 +8,8 @@
                             const nlohmann::json& known, int sockets) {
     using nlohmann::json;
     json classes = json::array(), reads = json::array(), bounds = json::array();
-    for (const auto& c : kClasses) {
+    for (int k = 0; k < kRosterClasses; ++k) {
+        const auto& c = kClasses[k];
         classes.push_back({{"name", c.name},
                            {"effect", c.write ? "idempotency_key" : "read_like"},
                            {"group", "cell"},
@@ -59,4 +60,19 @@
     return out;
 }
 
+void add_sessions(nlohmann::json& config, bool brought) {
+    auto& settings = config["settings"];
+    const auto& c = kClasses[kSessionRead];
+    settings["classes"].push_back({{"name", c.name},
+                                   {"effect", "read_like"},
+                                   {"promise-us", c.aim_us},
+                                   {"deadline-us", c.patience_us},
+                                   {"worth", c.worth},
+                                   {"late-worth", 0.0}});
+    auto& specifics = settings["specifics"];
+    specifics["class-read"].push_back("causal");
+    specifics["staleness-bound-us"].push_back(0);
+    specifics["write-marks"] = brought ? "brought" : "kept";
+}
+
 }  // namespace standin
--- a/standin/settings.h
+++ b/standin/settings.h
@@ -10,5 +10,7 @@
 // As EDGE_CONFIG's file has it. `known` is discovery's whole list, or null.
 nlohmann::json proxy_config(const std::string& listen, const std::string& discovery,
                             const nlohmann::json& known, int sockets);
+// Adds the class of session reads; `brought`: clients carry their last commit, else a proxy keeps it.
+void add_sessions(nlohmann::json& config, bool brought);
 
 }  // namespace standin
--- a/standin/values.cpp
+++ b/standin/values.cpp
@@ -57,7 +57,9 @@
 std::string tags_of(const Question& q) {
     std::string out = " /* id=" + q.id + ",c=" + kClasses[q.klass].name + ",d=" + std::to_string(q.left_ms);
     if (!q.key.empty()) out += ",k=" + q.key;
-    return out + ",cluster=" + std::to_string(q.group) + (q.repeat ? ",r=1 */" : " */");
+    out += ",cluster=" + std::to_string(q.group);
+    if (q.after_ms > 0) out += ",after=" + std::to_string(q.after_ms);
+    return out + (q.repeat ? ",r=1 */" : " */");
 }
 std::string read_of(const Question& q) {
     return "SELECT data FROM facts WHERE code = '" + q.code + "'" + tags_of(q);
--- a/standin/values.h
+++ b/standin/values.h
@@ -17,14 +17,18 @@
     std::int64_t patience_us;  // given up after
     std::int64_t aim_us;
     double worth;
+    bool session = false;  // must see what its session has written
 };
-// The classes of the roster system, with the shares and times of its operators.
+// The classes of the roster system, with the shares and times of its operators; behind them the one that only
+// scenarios with sessions have.
 constexpr ClassModel kClasses[] = {
     {"roster-view", 0.47, false, 200'000, 600'000, 250'000, 1},
     {"hours-report", 0.45, false, 0, 750'000, 250'000, 2},
     {"shift-change", 0.08, true, 0, 5'000'000, 600'000, 3},
+    {"own-shifts", 0, false, 0, 600'000, 250'000, 1, true},
 };
-constexpr int kClassCount = 3;
+constexpr int kClassCount = 4, kRosterClasses = 3;
+constexpr int kWrite = 2, kSessionRead = 3;
 
 // Repeatable numbers: SplitMix64.
 class Random {
@@ -46,7 +50,9 @@
     std::string id, code, key, data;  // key and data of a write only
     int group = 0;
     std::int64_t left_ms = 0;
+    std::int64_t after_ms = 0;  // Unix ms of its session's last commit, where the client carries it
     bool repeat = false;
+    bool session = false;  // the code names a session: one that writes it and reads it again
 };
 std::string statement_of(const Question& question);
 std::string tds_statement_of(const Question& question);  // the same as T-SQL has it
--- a/tests/fleet_test.sh
+++ b/tests/fleet_test.sh
@@ -16,6 +16,12 @@
 count() { grep -c "\"what\":\"process\",\"word\":\"$1\"" "$folder/run/conductor.jsonl"; }
 is() { [ "$2" "$3" "$4" ] || { cat "$folder/report"; fail "$1: $2 $3 $4 does not hold"; }; }
 number() { sed -n "s/^  \"$1\": \([0-9]*\),*$/\1/p" "$folder/report"; }
+tries() { sed -n "s/^    \"$1\": \([0-9]*\),*$/\1/p" "$folder/report" | tail -n 1; }  # of all tries, by their end
+# Sessions of which more than one proxy was asked.
+away_sessions() {
+    sed -n 's/.*"key":"\([0-9a-f]*\)".*"proxy":\([0-9]*\),.*"what":"asked".*/\1 \2/p' "$folder"/run/clients-*.jsonl |
+        sort -u | cut -d' ' -f1 | uniq -d | wc -l
+}
 faults() { grep -c '"what":"fault"' "$folder/run/conductor.jsonl"; }
 
 case $3 in
@@ -50,14 +56,35 @@
     # They bear its clients as well; a machine that stands still may have them refuse one or two.
     is "and served, of $all: lost" "$lost" -le $((all / 100))
     ;;
+crowd)  # those that are still up serve all that come to them, and send on nothing twice
+    play crowd
+    is "killed" "$(count killed)" -eq 4
+    stayed=$(grep '"what":"answered"' "$folder/run/clients-0.jsonl" | grep -E '"proxy":[01],')
+    all=$(echo "$stayed" | wc -l)
+    lost=$(echo "$stayed" | grep -cv '"word":"served"')
+    is "the two were asked" "$all" -ge 350
+    is "and served, of $all: lost" "$lost" -le $((all / 100))
+    ;;
+stale)  # what was known before the start serves no read that must be newer
+    play stale
+    is "killed" "$(count killed)" -eq 10
+    own=$(grep '"word":"served"' "$folder/run/clients-0.jsonl" | grep -c '"class":3')
+    is "reads of sessions were served" "$own" -ge 150
+    # Who served all such from nowhere but a primary that has told so itself would do as well; nobody waits for it.
+    is "refused" "$(tries refused)" -le 100
+    ;;
+sessions)
+    play sessions
+    is "killed" "$(count killed)" -eq 4
+    is "sessions came by other proxies" "$(away_sessions)" -ge 5
+    ;;
 discovery)
     play discovery
     is "killed" "$(count killed)" -eq 6
     is "all come up with discovery gone, behind or slow" "$(count ready)" -ge 8
     is "a list of nobody was told" "$(grep -c '"word":"whole"' "$folder/run/discovery.jsonl")" -ge 1
     # Believed, it would have all refused that come for three seconds, some 240.
-    refused=$(sed -n 's/^    "refused": \([0-9]*\),*$/\1/p' "$folder/report" | tail -n 1)
-    is "and not believed: refused" "${refused:-0}" -le 100
+    is "and not believed: refused" "$(tries refused)" -le 100
     ;;
 members | edges)
     play "$3"
--- a/tests/rig/tally_test.cpp
+++ b/tests/rig/tally_test.cpp
@@ -29,6 +29,32 @@
     return e;
 }
 
+// A process's first attempt at a bank needs a connection, whichever member takes it; so does the first since
+// the last was closed for want of use, and the first of a process that has started again.
+TEST(Tally, CountsTheConnectionsThatNobodyCouldDoWithout) {
+    Tally t(2, kBegins, 20 * kSecond, 3, 5 * kSecond);
+    const auto sent = [&t](int proxy, int member, Micros at) {
+        auto e = event(What::arrived, proxy, at);
+        e.member = member;
+        t.saw(e);
+    };
+    sent(0, 0, 0);
+    sent(0, 2, 1);     // the same bank
+    sent(0, 1002, 2);  // and one in the place of its last member
+    sent(0, 3, 3);     // another
+    sent(1, 0, 4);     // another process
+    EXPECT_EQ(t.total()[0].links_needed, 3u);
+    sent(0, 0, 5 * kSecond + 2);
+    EXPECT_EQ(t.total()[50].links_needed, 0u);
+    sent(0, 0, 10 * kSecond + 3);
+    EXPECT_EQ(t.total()[100].links_needed, 1u);
+    t.saw(event(What::process, 0, 11 * kSecond, "started"));
+    sent(0, 0, 11 * kSecond);
+    sent(1, 0, 11 * kSecond);  // unused for long
+    sent(1, 1, 11 * kSecond);
+    EXPECT_EQ(t.total()[110].links_needed, 2u);
+}
+
 TEST(Tally, CountsByProcessAndTenthOfASecond) {
     Tally t(2, kBegins, 2 * kSecond);
     t.saw(event(What::arrived, 1, 150'000));
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -1156,6 +1156,58 @@
     EXPECT_GE(*fresh.begin(), 11u);
 }
 
+// `known` may be older than anything: a read that must be new is not sent to who was a primary then, before
+// it has said that it is one. Where members check reads themselves nobody waits.
+TEST(Comeback, APrimaryThatOnlyAnOldListNamesServesNoReadThatMustBeNew) {
+    for (const auto check : {PositionCheck::none, PositionCheck::refuse})
+        for (const int klass : {kBounded, kSession, kFresh}) {
+            auto s = base();
+            s.may_probe = s.probes_report = true;
+            s.position_check = check;
+            s.listed_role = ListedRole::delayed;
+            Bench b(s, 0);
+            auto old = Bench::entry(1);
+            old.listed_primary = true;
+            b.tell(ListKind::cached, {old, Bench::entry(2)});
+            b.step();
+            b.arrive(1, klass);
+            b.step();
+            EXPECT_EQ(b.sent_to(1).has_value(), check != PositionCheck::none) << klass;
+            if (check != PositionCheck::none) continue;
+            b.report(1, Role::replica, b.now - 5'000'000);
+            b.tick();
+            EXPECT_FALSE(b.sent_to(1)) << "it has been deposed meanwhile";
+            b.report(2, Role::primary, b.now);
+            b.tick();
+            EXPECT_EQ(b.sent_to(1), std::optional<ServerId>(2)) << klass;
+        }
+}
+
+// A probe that is lost is sent again while a request waits for it; then its own word is enough.
+TEST(Comeback, AListedPrimaryIsAskedUntilItSaysThatItIsOne) {
+    auto s = base();
+    s.may_probe = s.probes_report = true;
+    s.listed_role = ListedRole::delayed;
+    Bench b(s, 0);
+    auto first = Bench::entry(1);
+    first.listed_primary = true;
+    b.tell(ListKind::cached, {first});
+    b.step();
+    int probes = 0;
+    for (int i = 0; i < 100; ++i) {
+        b.arrive(static_cast<RequestId>(i + 1), kBounded);
+        b.tick(10'000);
+        for (const auto& a : b.actions) probes += std::holds_alternative<Probe>(a);
+        EXPECT_FALSE(b.sent_to(static_cast<RequestId>(i + 1)));
+    }
+    EXPECT_GE(probes, 3);
+    EXPECT_LE(probes, 6);
+    b.report(1, Role::primary, b.now);
+    b.arrive(200, kBounded);
+    b.step();
+    EXPECT_EQ(b.sent_to(200), std::optional<ServerId>(1));
+}
+
 // A member that answers at once, but with errors, is no good member; nor is one that turns requests away.
 TEST(Health, ErrorsAndRefusalsCountAsSlowAnswers) {
     for (const auto bad : {Outcome::error, Outcome::full}) {
--- a/tests/standin/standin_test.cpp
+++ b/tests/standin/standin_test.cpp
@@ -214,6 +214,45 @@
     EXPECT_TRUE(says({of_member(What::fell, 0, 3, kNow)}, "pushed over"));
 }
 
+// A write that is answered is seen by each read of its session that is asked from then on, through any proxy.
+TEST(Checker, ASessionReadsWhatItHasWritten) {
+    const auto of_session = [](Event e, int klass, Time position = 0) {
+        e.klass = klass;
+        if (e.what == What::asked) e.key = "s";
+        e.position = position;
+        return e;
+    };
+    const auto write = [&](const std::string& id, Time commit) {
+        return std::vector<Event>{of_session(ask(id), kWrite), of_session(run(id, id), kWrite, commit),
+                                  of_session(answer(id, "served", 7), kWrite)};
+    };
+    const auto read = [&](Time position, int proxy = 1) {
+        return std::vector<Event>{of_session(ask("r", kNow + 100, proxy), kSessionRead),
+                                  of_session(run("r"), kSessionRead, position),
+                                  of_session(answer("r", "served", 7), kSessionRead)};
+    };
+    const auto both = [](std::vector<Event> first, const std::vector<Event>& second) {
+        first.insert(first.end(), second.begin(), second.end());
+        return first;
+    };
+    EXPECT_TRUE(judged(both(write("w", kNow), read(kNow))).empty());
+    EXPECT_TRUE(says(both(write("w", kNow), read(kNow - 1)), "older than its last write"));
+    // The later commit counts, whichever was answered last.
+    EXPECT_TRUE(says(both(both(write("w", kNow), write("v", kNow - 500)), read(kNow - 1)), "older than"));
+    // A write that was not answered need not be seen; nor one answered after the read was asked.
+    auto unanswered = write("w", kNow);
+    unanswered.back() = of_session(answer("w", "failed"), kWrite);
+    EXPECT_TRUE(judged(both(unanswered, read(kNow - 1))).empty());
+    auto later = read(kNow - 1);
+    const auto written = write("w", kNow);
+    later.insert(later.begin() + 1, written.begin(), written.end());
+    EXPECT_TRUE(judged(later).empty());
+    // A member that was the primary until just now is excused.
+    auto deposed = read(kNow - 1);
+    deposed[1].deposed = true;
+    EXPECT_TRUE(judged(both(write("w", kNow), deposed)).empty());
+}
+
 TEST(Events, AreWrittenAndReadBack) {
     auto e = run("1", "k");
     e.deposed = e.last = true;
