Make the return a state machine: cold, learning, serving, by evidence alone

Until now nothing said when a process knew the fleet again.

Change: route/comeback holds the states. Cold until discovery has told a list since the start: a failed call then waits as long as the window of first calls (2.4 s at 300), since all that came back failed beside it; 300 processes whose calls all fail keep to 190 calls in any second in the test, chance included. Learning until of nine in ten groups asked for the primary has said itself that it is one. The log tells each move, sloestackctl fleet report the median and the most over all that came back, and case restart holds that those killed last got there.

--- a/rig/report.cpp
+++ b/rig/report.cpp
@@ -4,6 +4,8 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
+#include <string_view>
 
 #include "rig/folder.h"
 #include "rig/process.h"
@@ -17,10 +19,25 @@
 using nlohmann::json;
 constexpr double kTooBusyMs = 10;
 
-// What the proxies' own figures say of why they gave requests up, summed over all their lives. A life that
-// was killed tells what it had logged last, up to 10 s before.
-json causes(const std::string& folder) {
-    json out = json::object();
+// What the proxies' logs tell, over all their lives.
+struct Told {
+    // Why requests were given up. A life that was killed tells what it had logged last, up to 10 s before.
+    json causes = json::object();
+    // Of lives begun again: how long until discovery had told a list, and until the members had said who
+    // their primaries are; ms, sorted.
+    std::vector<std::int64_t> learning, serving;
+};
+
+// How many, the median and the most of them.
+json spread(std::vector<std::int64_t> ms) {
+    if (ms.empty()) return {{"count", 0}};
+    std::sort(ms.begin(), ms.end());
+    return {{"count", ms.size()}, {"median_ms", ms[ms.size() / 2]}, {"most_ms", ms.back()}};
+}
+
+Told read_logs(const std::string& folder) {
+    Told told;
+    auto& out = told.causes;
     const auto add = [&](const json& figures) {
         const auto by_class = figures.value("reasons", json::object());
         for (const auto& [klass, reasons] : by_class.items())
@@ -32,8 +49,18 @@
         if (file.path().extension() != ".log") continue;
         std::ifstream in(file.path());
         json last;
+        int lives = 0;
         for (std::string line; std::getline(in, line);) {
-            if (line.find("serving: ") != std::string::npos && !last.is_null()) add(last), last = nullptr;
+            constexpr std::string_view kBegins = "sloestack: serving: ", kMoved = "module: comeback: ";
+            if (line.rfind(kBegins, 0) == 0) ++lives;
+            if (line.rfind(kBegins, 0) == 0 && !last.is_null()) add(last), last = nullptr;
+            if (const auto moved = line.find(kMoved); moved != std::string::npos && lives > 1) {
+                std::istringstream words(line.substr(moved + kMoved.size()));
+                std::string state, after;
+                std::int64_t ms = 0;
+                if (words >> state >> after >> ms)
+                    (state == "learning" ? told.learning : told.serving).push_back(ms);
+            }
             const auto at = line.find("figures: ");
             if (at == std::string::npos) continue;
             auto figures = json::parse(line.substr(at + 9), nullptr, false);
@@ -41,7 +68,7 @@
         }
         if (!last.is_null()) add(last);
     }
-    return out;
+    return told;
 }
 
 json to_json(const Return::Kind& k) {
@@ -71,6 +98,7 @@
     const auto back = tally.back_to_service(s.steady_from_us, run.plan.first_fault_us());
     Bin sum;
     for (const auto& b : tally.total()) sum += b;
+    const auto told = read_logs(folder);
     Verdict out;
     out.broken = checker.broken();
     json ends = json::object();
@@ -95,7 +123,9 @@
         {"calls_failed", sum.calls_failed},
         {"ran", checker.ran()},
         {"excused", checker.excused()},
-        {"causes", causes(folder)},
+        {"causes", told.causes},
+        {"learning", spread(told.learning)},
+        {"serving", spread(told.serving)},
     };
     const auto busy = tally.busy();
     if (!busy.empty())
@@ -158,6 +188,11 @@
                         r[kind]["steady"].get<double>(), r[kind]["highest"].get<double>(),
                         r[kind]["overshoot"].get<double>());
     }
+    for (const char* state : {"learning", "serving"})
+        if (const auto& s = f.at(state); s.contains("median_ms"))
+            std::printf("%s %lld ms after a new start at the median, %lld at most, %llu starts\n", state,
+                        s["median_ms"].get<long long>(), s["most_ms"].get<long long>(),
+                        s["count"].get<unsigned long long>());
     if (f.contains("rig_late_ms")) {
         const auto late = f["rig_late_ms"]["median"].get<double>();
         std::printf(
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -261,6 +261,7 @@
         deadlines_.emplace(a.not_after, a.request);
         retry_credit_ = std::min(kRetryMost, retry_credit_ + kRetryPerArrival);
         auto& g = group(a.group);
+        comeback_.asked(g.id);
         if (g.probed_at < 0 && set_.may_probe) probe_all(g, first_probe_);
         const bool write = klass(r).need == Need::write;
         if (write) g.write_worth.add(now_, klass(r).worth);
@@ -393,7 +394,7 @@
             actions_->emplace_back(SetTimer{comeback_.call_failed(unit()), kWatchToken});
             return;
         }
-        comeback_.call_answered();
+        if (l.kind != ListKind::cached) comeback_.list_told();
         if (l.kind != ListKind::changes)
             for (auto& [id, s] : servers_)
                 if (std::none_of(l.entries->begin(), l.entries->end(),
@@ -405,8 +406,7 @@
     void draw_subset(Group& g) {
         std::vector<route::Candidate> all;
         for (const auto id : g.members)
-            if (servers_[id].told_at < 0) all.push_back({id, servers_[id].zone});
-        for (const auto id : g.members) servers_[id].first = false;
+            if (servers_[id].first = false; servers_[id].told_at < 0) all.push_back({id, servers_[id].zone});
         for (const auto id : route::subset(key_, set_.zone, all, set_.routers)) servers_[id].first = true;
     }
     void apply(const ServerEntry& e) {
@@ -476,6 +476,7 @@
         if (st.role == Role::unknown || (st.position && old)) return;
         s.role_at = now_;
         if (st.role == Role::primary) {
+            comeback_.proven(g.id);
             const bool newest = !st.position || *st.position >= g.primary_position;
             if (g.primary == s.id || !newest) return;
             // Without a primary positions stand still; a speed across that time would set a false throttle.
@@ -919,6 +920,7 @@
 
     // ---- upkeep ----
     void upkeep() {
+        if (const auto text = comeback_.moved(now_ - begun_)) actions_->emplace_back(Log{*text});
         for (const auto& [id, s] : busy_)
             if (!s->ejected && silent(*s)) eject(*s, false);
         judge_zones();
--- a/src/route/comeback/comeback.cpp
+++ b/src/route/comeback/comeback.cpp
@@ -1,6 +1,7 @@
 #include "comeback/comeback.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace nettletrestle::route {
 
@@ -18,7 +19,40 @@
 
 Micros Comeback::call_failed(double draw) {
     wait_ = std::min(kWaitMost, wait_ * 2);
-    return static_cast<Micros>(static_cast<double>(wait_) * (0.5 + draw));
+    const Micros wait = state_ == State::cold ? std::max(wait_, window_) : wait_;
+    return static_cast<Micros>(static_cast<double>(wait) * (0.5 + draw));
+}
+
+void Comeback::list_told() {
+    wait_ = kWait;
+    if (state_ != State::cold) return;
+    state_ = State::learning, told_of_ = false;
+    judge();
+}
+
+void Comeback::asked(int group) {
+    if (state_ != State::serving) asked_.insert(group);
+}
+
+void Comeback::proven(int group) {
+    if (state_ == State::serving) return;
+    proven_.insert(group);
+    judge();
+}
+
+void Comeback::judge() {
+    if (state_ != State::learning || asked_.empty()) return;
+    const auto known =
+        std::count_if(asked_.begin(), asked_.end(), [this](int g) { return proven_.count(g) > 0; });
+    if (static_cast<double>(known) < kProvenShare * static_cast<double>(asked_.size())) return;
+    state_ = State::serving, told_of_ = false;
+    asked_.clear(), proven_.clear();
+}
+
+std::optional<std::string> Comeback::moved(Micros since_start) {
+    if (std::exchange(told_of_, true)) return std::nullopt;
+    return (state_ == State::learning ? "comeback: learning after " : "comeback: serving after ") +
+           std::to_string(since_start / 1000) + " ms";
 }
 
 Micros first_hold(std::uint64_t seed, Micros full) {
--- a/src/route/comeback/comeback.h
+++ b/src/route/comeback/comeback.h
@@ -1,9 +1,18 @@
-// When a router that has just started calls discovery, while hundreds of others start beside it and call the
-// same one service. Its share is that of one router in a budget of all of them. Pure: time is not looked at,
+// What a router that has just started may do of its own accord, while hundreds of others start beside it: one
+// state machine a process, and its share of what all of them may do together. Pure: time is not looked at,
 // and draws are passed in.
+//
+//   cold      serves by the list from before its start, as old as that may be
+//   learning  discovery has told it a list since; members are known by what others say of them
+//   serving   of nine in ten groups that clients have asked for, the primary has said itself that it is one
+//
+// It moves on by evidence alone, never by time, and never back. What each state allows is at the functions.
 #pragma once
 
 #include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
 
 #include "nettletrestle/router.h"
 
@@ -11,15 +20,28 @@
 
 class Comeback {
 public:
-    // Of the settings: how many routers, over 0, share discovery, and how long one may go without asking
-    // before what discovery has to tell counts as told (0: nothing says so).
+    enum class State { cold, learning, serving };
+
+    // Of the settings: how many routers, over 0, share discovery, how long one may go without asking before
+    // what discovery has to tell counts as told (0: nothing says so), and whether members check reads.
     explicit Comeback(const Settings& settings);
 
+    // ---- evidence ----
+    void list_told();        // a list, whole or changes, that discovery has told since the start
+    void asked(int group);   // a client's request has come for it
+    void proven(int group);  // its primary has said itself that it is one
+    State state() const { return state_; }
+    // Told once for each state that is reached: a line for the log; `since_start` in us, at least 0.
+    std::optional<std::string> moved(Micros since_start);
+
+    // ---- calls for the list ----
     // From the start to the first call, us, at least 1; `draw` lies in [0, 1).
     Micros first_call(double draw) const;
-    // A call has failed: from now to the next, us.
+    // A call has failed: from now to the next, us. While cold it is held to the window of the first, since
+    // all that came back with it are likely to have failed beside it.
     Micros call_failed(double draw);
-    void call_answered() { wait_ = kWait; }
+
+    // ---- what is believed ----
     // Whether a member counts as its group's primary for reads because a list says so, before it has said so
     // itself. The list may be that of before the start, as old as can be: only where members turn away what
     // they are too far behind for, or where nobody can be asked.
@@ -29,10 +51,15 @@
     static constexpr Micros kWaitMost = 3'000'000;  // us; longest wait, well inside the interval for asking
     static constexpr Micros kCallShare =
         8'000;  // us a router: all that start at once call 125 times a second
+    static constexpr double kProvenShare = 0.9;  // of the groups asked for: a bank may have lost its primary
 
 private:
+    void judge();
+
     Micros window_, wait_ = kWait;
-    bool believes_listed_;
+    bool believes_listed_, told_of_ = true;
+    State state_ = State::cold;
+    std::set<int> asked_, proven_;  // emptied once serving
 };
 
 // Of a watch on the list: how long discovery is to hold the first call, at least 1 ms and at most `full` us,
--- a/tests/comeback_test.cpp
+++ b/tests/comeback_test.cpp
@@ -51,14 +51,68 @@
 
 TEST(Comeback, FailedCallsBackOffWithDrawsUntilOneIsAnswered) {
     Comeback c(of(300));
+    c.list_told();
     EXPECT_EQ(c.call_failed(0), 700'000);
     EXPECT_EQ(c.call_failed(0.5), 2'800'000);
     EXPECT_EQ(c.call_failed(0.5), 3'000'000);
     EXPECT_LE(c.call_failed(0.9999), 4'500'000);
-    c.call_answered();
+    c.list_told();
     EXPECT_EQ(c.call_failed(0), 700'000);
 }
 
+// Who has not been told a list since the start has likely failed beside all others that came back.
+TEST(Comeback, WhileColdFailedCallsKeepToTheFleetsWindow) {
+    for (const int routers : {3, 300, 1000}) {
+        Comeback c(of(routers));
+        const auto window = c.first_call(0.999'999'9);
+        for (int i = 0; i < 5; ++i) EXPECT_GE(c.call_failed(0), window / 2) << routers;
+    }
+    // All fail at once, again and again: no second sees more than the budget, and a draw's chance.
+    std::mt19937_64 random(7);
+    std::uniform_real_distribution<> unit;
+    std::vector<Micros> at;
+    for (int i = 0; i < 300; ++i) {
+        Comeback c(of(300));
+        for (Micros t = c.first_call(unit(random)); t < 30'000'000; t += c.call_failed(unit(random)))
+            at.push_back(t);
+    }
+    std::sort(at.begin(), at.end());
+    std::size_t most = 0;
+    for (std::size_t i = 0, j = 0; i < at.size(); ++i) {
+        while (at[i] - at[j] > 1'000'000) ++j;
+        most = std::max(most, i - j + 1);
+    }
+    EXPECT_LE(most, 190u);
+}
+
+TEST(Comeback, MovesOnByEvidenceAloneAndNeverBack) {
+    using State = Comeback::State;
+    Comeback c(of(300));
+    for (int g = 0; g < 20; ++g) c.asked(g);
+    for (int g = 0; g < 20; ++g) c.proven(g);
+    EXPECT_EQ(c.state(), State::cold) << "whatever members say, the list is that of before";
+    EXPECT_EQ(c.moved(60'000'000), std::nullopt);
+    c.list_told();
+    EXPECT_EQ(c.state(), State::serving) << "they have said it already";
+    EXPECT_EQ(c.moved(412'345), "comeback: serving after 412 ms");
+    EXPECT_EQ(c.moved(500'000), std::nullopt) << "told once";
+
+    Comeback other(of(300));
+    other.list_told();
+    EXPECT_EQ(other.state(), State::learning);
+    EXPECT_EQ(other.moved(5'000), "comeback: learning after 5 ms");
+    other.proven(7);
+    EXPECT_EQ(other.state(), State::learning) << "nobody has asked for anything";
+    for (int g = 0; g < 20; ++g) other.asked(g);
+    for (int g = 0; g < 17; ++g) other.proven(g);
+    EXPECT_EQ(other.state(), State::learning);
+    other.proven(17);
+    EXPECT_EQ(other.state(), State::serving) << "two banks may be without a primary";
+    other.asked(99);
+    other.list_told();
+    EXPECT_EQ(other.state(), State::serving);
+}
+
 TEST(Comeback, FirstHoldsAreSpreadEvenly) {
     std::vector<int> tenths(10);
     for (std::uint64_t seed = 0; seed < 10'000; ++seed) {
--- a/tests/fleet_test.sh
+++ b/tests/fleet_test.sh
@@ -33,6 +33,8 @@
     is "and were ready" "$(count ready)" -ge 10
     is "all end in order" "$(count ended)" -eq 5
     is "requests died with their process" "$(number excused)" -ge 1
+    # By evidence: five were killed last, with six seconds to go.
+    is "those that came back know the members again" "$(inner count)" -ge 5
     ;;
 pause)
     play pause
