--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -475,8 +475,8 @@
         const bool old = st.role == Role::primary && s.role == Role::replica && st.position < s.role_at;
         if (st.role == Role::unknown || (st.position && old)) return;
         s.role_at = now_;
+        comeback_.heard(g.id);
         if (st.role == Role::primary) {
-            comeback_.proven(g.id);
             const bool newest = !st.position || *st.position >= g.primary_position;
             if (g.primary == s.id || !newest) return;
             // Without a primary positions stand still; a speed across that time would set a false throttle.
--- a/src/route/comeback/comeback.cpp
+++ b/src/route/comeback/comeback.cpp
@@ -34,19 +34,19 @@
     if (state_ != State::serving) asked_.insert(group);
 }
 
-void Comeback::proven(int group) {
+void Comeback::heard(int group) {
     if (state_ == State::serving) return;
-    proven_.insert(group);
+    heard_.insert(group);
     judge();
 }
 
 void Comeback::judge() {
     if (state_ != State::learning || asked_.empty()) return;
     const auto known =
-        std::count_if(asked_.begin(), asked_.end(), [this](int g) { return proven_.count(g) > 0; });
-    if (static_cast<double>(known) < kProvenShare * static_cast<double>(asked_.size())) return;
+        std::count_if(asked_.begin(), asked_.end(), [this](int g) { return heard_.count(g) > 0; });
+    if (static_cast<double>(known) < kHeardShare * static_cast<double>(asked_.size())) return;
     state_ = State::serving, told_of_ = false;
-    asked_.clear(), proven_.clear();
+    asked_.clear(), heard_.clear();
 }
 
 std::optional<std::string> Comeback::moved(Micros since_start) {
--- a/src/route/comeback/comeback.h
+++ b/src/route/comeback/comeback.h
@@ -3,8 +3,8 @@
 // and draws are passed in.
 //
 //   cold      serves by the list from before its start, as old as that may be
-//   learning  discovery has told it a list since; members are known by what others say of them
-//   serving   of nine in ten groups that clients have asked for, the primary has said itself that it is one
+//   learning  discovery has told it a list since; members are known by what the list says of them
+//   serving   of nine in ten groups that clients have asked for, a member has said itself what it is
 //
 // It moves on by evidence alone, never by time, and never back. What each state allows is at the functions.
 #pragma once
@@ -27,9 +27,9 @@
     explicit Comeback(const Settings& settings);
 
     // ---- evidence ----
-    void list_told();        // a list, whole or changes, that discovery has told since the start
-    void asked(int group);   // a client's request has come for it
-    void proven(int group);  // its primary has said itself that it is one
+    void list_told();       // a list, whole or changes, that discovery has told since the start
+    void asked(int group);  // a client's request has come for it
+    void heard(int group);  // a member of it has said itself whether it is a primary or a replica
     State state() const { return state_; }
     // Told once for each state that is reached: a line for the log; `since_start` in us, at least 0.
     std::optional<std::string> moved(Micros since_start);
@@ -50,8 +50,8 @@
     static constexpr Micros kWait = 700'000;  // us; window of the first call, first wait after a failed one
     static constexpr Micros kWaitMost = 3'000'000;  // us; longest wait, well inside the interval for asking
     static constexpr Micros kCallShare =
-        8'000;  // us a router: all that start at once call 125 times a second
-    static constexpr double kProvenShare = 0.9;  // of the groups asked for: a bank may have lost its primary
+        8'000;                                  // us a router: all that start at once call 125 times a second
+    static constexpr double kHeardShare = 0.9;  // of the groups asked for: one may be out of reach
 
 private:
     void judge();
@@ -59,7 +59,7 @@
     Micros window_, wait_ = kWait;
     bool believes_listed_, told_of_ = true;
     State state_ = State::cold;
-    std::set<int> asked_, proven_;  // emptied once serving
+    std::set<int> asked_, heard_;  // emptied once serving
 };
 
 // Of a watch on the list: how long discovery is to hold the first call, at least 1 ms and at most `full` us,
