--- a/src/fleet/discovery/watch.cpp
+++ b/src/fleet/discovery/watch.cpp
@@ -102,8 +102,9 @@
     }
 }
 
-// What a silent watch has missed counts as told soon after its wait was over, so it is opened anew at once, and
-// not after a failed call's wait. Harm: none that adds up, since each proxy's were held for a time of their own.
+// What a silent watch has missed counts as told soon after its wait was over, so it is opened anew at once,
+// and not after a failed call's wait. Harm: none that adds up, since each proxy's were held for a time of
+// their own.
 void Watch::silent() {
     if (!revision_) return failed("no answer in time");
     log::line("discovery silent", "the watch is opened anew");
