Have the rig's clients send again, once, what a close between requests has crossed

Checked: the processes' logs tell no request left open at their end, and each ended in order.

A request that had been sent on to a member before its connection was closed had been taken, and breaks a rule of its own (tested on histories both ways).

--- a/standin/checker.cpp
+++ b/standin/checker.cpp
@@ -21,6 +21,11 @@
     switch (e.what) {
         case What::asked: {
             auto& client = clients_[e.id];
+            // A close that crosses a request is no fault; of a request that had been taken it is one.
+            if (e.word == "again") {
+                client.dropped = client.dropped || client.attempts > 0;
+                return;
+            }
             if (client.asked++ == 0) client.first_at = e.at;
             client.proxy = e.proxy;
             client.until = std::max(client.until, e.until);
@@ -145,6 +150,8 @@
         if (away(client)) continue;
         if (client.answers < client.asked)
             add("request " + id + " was never answered" + of_proxy(client.proxy));
+        else if (client.dropped)
+            add("request " + id + " was taken and its connection closed" + of_proxy(client.proxy));
         else if (client.late)
             add("request " + id + " was answered too late" + of_proxy(client.proxy));
     }
--- a/standin/checker.h
+++ b/standin/checker.h
@@ -38,10 +38,11 @@
     struct Client {
         int proxy = -1, asked = 0, answers = 0, attempts = 0;
         Time first_at = 0, until = 0;
-        Time commit = 0;      // a write's
-        std::string session;  // whose read or write it is, empty: nobody's
-        Time required = 0;    // of a session's read: the commit that it has to see
-        bool late = false;    // an answer, or none, came too late
+        Time commit = 0;       // a write's
+        std::string session;   // whose read or write it is, empty: nobody's
+        Time required = 0;     // of a session's read: the commit that it has to see
+        bool late = false;     // an answer, or none, came too late
+        bool dropped = false;  // it had been sent on when its connection was closed with no answer
     };
     struct Outage {
         Time from = 0, to = 0;   // 0: not over
--- a/standin/event.h
+++ b/standin/event.h
@@ -12,7 +12,8 @@
 using Micros = std::int64_t;
 
 enum class What {
-    asked,     // a client has written request `id` to the proxy; `until`: when it gives up
+    asked,  // a client has written request `id` to the proxy; `until`: when it gives up; `word`: again where
+            // its connection had been closed with no answer, and it is written once more on a new one
     answered,  // and got its answer, `word`: served, refused, failed, none (it never came) or unsent;
                // `since`: its first try's arrival, `last`: no try follows; `value`: the digest of what was
                // served
--- a/standin/load.cpp
+++ b/standin/load.cpp
@@ -55,7 +55,12 @@
         until_ = of_.deadlines_.now() + asked_->question.left_ms * 1000;
         limit_.set(of_.deadlines_, until_ + of_.settings_.grace,
                    [this] { ended(sloestack::net::Ending::broken); });
+        again_ = false;
+        begin();
+    }
+    void begin() {
         if (!line_) {
+            kept_ = false;
             dialect_ = conversation::postgres().begin(1, of_.memory_, *this);
             sent_ = up_ = false;
             auto& to = *of_.proxies_[static_cast<std::size_t>(proxy_)];
@@ -77,13 +82,19 @@
         dialect_->read(conversation::Side::server, bytes, of_.deadlines_.now());
         if (line_) line_->consume(bytes.size());
         of_.reached(proxy_);
+        heard_ = true;
         finish();
     }
     void ended(sloestack::net::Ending) override {
         const bool was_up = up_;
         line_.reset();
-        limit_.clear();
         up_ = false;
+        // A connection that was closed between requests may have crossed this one: it is sent again, once.
+        if (asked_ && sent_ && !got_ && kept_ && !heard_ && !again_ && of_.deadlines_.now() < until_) {
+            again_ = true;
+            return begin();
+        }
+        limit_.clear();
         if (!was_up) of_.unreachable(proxy_);
         if (!asked_) return;
         // Never written: it has not been taken. Written: what became of it is unknown.
@@ -120,8 +131,10 @@
         std::string out;
         pgwire::Builder(out).query(statement_of(asked_->question));
         sent_ = true;
+        heard_ = false;
         Event e;
         e.what = What::asked;
+        if (again_) e.word = "again";
         e.at = of_.deadlines_.now();
         e.proxy = proxy_;
         e.klass = asked_->question.klass;
@@ -136,6 +149,7 @@
     void finish() {
         if (!got_ || !asked_) return;
         limit_.clear();
+        kept_ = line_ != nullptr;
         const auto asked = *std::exchange(asked_, std::nullopt);
         const auto got = *std::exchange(got_, std::nullopt);
         of_.answered(proxy_, asked, got, sent_);
@@ -145,7 +159,10 @@
     std::optional<Asked> asked_;
     std::optional<conversation::Answered> got_;
     bool sent_ = false, up_ = false;
-    Time until_ = 0;  // when it gives up what it asks
+    bool kept_ = false;   // the connection has answered before
+    bool heard_ = false;  // something has come since the request was sent
+    bool again_ = false;  // it is sent a second time
+    Time until_ = 0;      // when it gives up what it asks
     std::unique_ptr<conversation::Dialect> dialect_;
     std::unique_ptr<Line> line_;
     sloestack::Deadline limit_;
--- a/tests/standin/standin_test.cpp
+++ b/tests/standin/standin_test.cpp
@@ -156,6 +156,20 @@
     EXPECT_TRUE(says({ask("1"), answer("1", "failed", 0, kNow + 1'100'001)}, "too late"));
 }
 
+// A proxy may close a connection between requests; which it had taken is told by its having been sent on.
+TEST(Checker, ACloseMayCrossARequestThatWasNotTaken) {
+    auto again = ask("1", kNow + 1'000);
+    again.word = "again";
+    const auto sent_on = of_member(What::arrived, 0, 0, kNow, "1");
+    EXPECT_TRUE(judged({ask("1"), again, run("1"), answer("1", "served", 7)}).empty());
+    EXPECT_TRUE(judged({ask("1"), again, sent_on, run("1"), answer("1", "served", 7)}).empty());
+    EXPECT_TRUE(
+        says({ask("1"), sent_on, again, run("1"), answer("1", "served", 7)}, "its connection closed"));
+    EXPECT_TRUE(says({ask("1"), again}, "never answered"));
+    EXPECT_TRUE(says({ask("1"), again, answer("1", "failed"), answer("1", "failed")}, "answered twice"));
+    EXPECT_TRUE(judged({ask("1"), sent_on, process(0, "killed", kNow + 500), again}).empty());
+}
+
 TEST(Checker, ExcusesWhatAProxyCannotAnswer) {
     EXPECT_TRUE(judged({ask("1"), process(0, "killed", kNow + 100'000)}).empty());
     EXPECT_TRUE(
