Call discovery by one schedule whose longest chain is under 6 s, and where lists are pushed too

Ruled out: lists read late, the check before a send (no job waited). The wait after failures was up to 4.5 s, after SIGHUP and outages too long as well (comeback: kWaitMost).

Now: route/calls, pure, holds every wait; a call is held only right behind an answer, the connection's time comes off the hold, and back-off has full jitter. Where lists are pushed the agent is called at the start and clients come in behind its word.

Tests on the test's own clock, nine fates of a call at its latest moment; with the old waits four of six watch tests and two of the schedule's fail, and the pushed scenario hangs.

--- a/include/nettletrestle/router.h
+++ b/include/nettletrestle/router.h
@@ -44,6 +44,7 @@
     int rank = -1;    // this one's number among them, from 0; -1 where it is not told
     int zone = 0;
     bool list_on_request = false;   // the list must be asked for
+    bool own_agent = false;         // ... of an agent that no other router calls
     bool session_age_told = false;  // session reads carry the age of their last write
     bool positions_in_answers = true;
     PositionCheck position_check = PositionCheck::none;
--- a/src/app/server/server.cpp
+++ b/src/app/server/server.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <stdexcept>
 
+#include "calls/calls.h"
 #include "invariant/invariant.h"
 #include "log/log.h"
 #include "members/link.h"
@@ -36,6 +37,9 @@
 // On sockets a refusal always has a field for advice, whatever the simulator's settings say of its own wire.
 nettletrestle::Settings module_settings(nettletrestle::Settings s) {
     s.tells_retry_after = true;
+    // And lists always have to be asked for; where they are pushed, of an agent of the proxy's own.
+    s.own_agent = !s.list_on_request;
+    s.list_on_request = true;
     return s;
 }
 
@@ -63,6 +67,13 @@
     return config.known.is_null() ? std::nullopt : std::optional(known.revision);
 }
 
+discovery::Watch::Patience patience(const nettletrestle::Settings& s, std::uint64_t seed) {
+    const nettletrestle::route::Calls calls(s);
+    // Drawn, so that watches which begin together do not end together ever after.
+    const auto first = nettletrestle::route::first_hold(seed, calls.hold());
+    return {calls.hold(), first, nettletrestle::route::Calls::kLate, calls.patience()};
+}
+
 // Where the processes of one proxy find each other.
 std::string tie_path(const config::Config& config) {
     auto name = config.name;
@@ -72,8 +83,14 @@
 
 }  // namespace
 
-Server::Server(const config::Config& config)
-    : sockets_(config.sockets),
+const Clock& Server::system_clock() {
+    static const Clock clock;
+    return clock;
+}
+
+Server::Server(const config::Config& config, const Clock& clock)
+    : deadlines_(clock),
+      sockets_(config.sockets),
       memory_mb_(config.memory_mb),
       clients_(net::share(config.sockets).clients),
       overflow_(net::share(config.sockets).overflow),
@@ -85,9 +102,11 @@
       pool_(loop_, deadlines_, members_, pool_settings(loop_, config.settings), proxy_, numbers_),
       lists_(config.settings.zone_names),
       known_(known_list(lists_, config.known)),
-      discovery_(config.discovery_in_file) {
-    watch_ = std::make_unique<discovery::Watch>(loop_, deadlines_, config.discovery, config.discovery_host,
-                                                lists_, known_revision(config, known_), bans_, config.seed);
+      discovery_(config.discovery_in_file),
+      waits_for_list_(!config.settings.router.list_on_request) {
+    watch_ = std::make_unique<discovery::Watch>(
+        loop_, deadlines_, config.discovery, config.discovery_host, lists_, known_revision(config, known_),
+        bans_, patience(module_settings(config.settings.router), config.seed));
     proxy_.attach({pool_, [this] { watch_->start(); },
                    [this](auto kind, const auto& entries) { pool_.listed(kind, entries); }});
     door_ = std::make_unique<clients::Door>(
@@ -111,8 +130,9 @@
 // The list comes after the bans: nothing is ever sent to a member that a predecessor was told to leave out.
 void Server::begin() {
     bans_.listed(nettletrestle::ListKind::cached, std::move(known_.members));
+    begun_ = true;
     proxy_.turn();
-    door_->open();
+    if (!waits_for_list_) door_->open();
 }
 
 void Server::shared_by(int processes) {
@@ -156,6 +176,11 @@
     if (const auto next = deadlines_.next()) at_most = std::min(at_most, *next - deadlines_.now());
     loop_.run_once(at_most);
     proxy_.turn();
+    // What the agent has counts as told from the first moment on, so clients come in behind its first word.
+    if (waits_for_list_ && begun_ && watch_->has_called()) {
+        waits_for_list_ = false;
+        door_->open();
+    }
     loop_.end_turn();
 }
 
--- a/src/app/server/server.h
+++ b/src/app/server/server.h
@@ -21,7 +21,8 @@
 class Server final : private control::Operated, private succession::Estate {
 public:
     // Throws config::BadConfig, or std::runtime_error where the address cannot be listened on.
-    explicit Server(const config::Config& config);
+    // The clock outlives it.
+    explicit Server(const config::Config& config, const Clock& clock = system_clock());
 
     // Waits for something to happen, `at_most` that long, and deals with all that has.
     void turn(Micros at_most);
@@ -35,6 +36,7 @@
     std::uint16_t control_port() const { return control_->port(); }  // where there is such a door
 
 private:
+    static const Clock& system_clock();
     void reload(const config::Config& fresh);
     void report();
 
@@ -52,9 +54,8 @@
     bool fits() const override { return !clients_.over() && !members_.over(); }
     void begin() override;
 
-    Clock clock_;
     net::Loop loop_;
-    Deadlines deadlines_{clock_};
+    Deadlines deadlines_;
     int sockets_;
     std::int64_t memory_mb_;
     net::Quota clients_, overflow_, members_;
@@ -68,6 +69,8 @@
     discovery::List known_;  // until it begins
     std::unique_ptr<discovery::Watch> watch_;
     std::string discovery_;  // as the file named it last
+    bool begun_ = false;
+    bool waits_for_list_;  // clients are let in once discovery has been heard, or has failed to answer
     std::unique_ptr<clients::Door> door_;
     std::unique_ptr<control::Door> control_;
     std::unique_ptr<succession::Succession> succession_;
--- a/src/base/deadlines/clock.h
+++ b/src/base/deadlines/clock.h
@@ -13,7 +13,12 @@
 
 class Clock {
 public:
-    Time now() const { return anchor_ + micros(std::chrono::steady_clock::now() - started_); }
+    Clock() = default;
+    Clock(const Clock&) = delete;
+    Clock& operator=(const Clock&) = delete;
+    virtual ~Clock() = default;
+    // Tests have clocks of their own, which stand still until they are moved.
+    virtual Time now() const { return anchor_ + micros(std::chrono::steady_clock::now() - started_); }
 
 private:
     template <class Duration>
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "calls/calls.h"
 #include "comeback/comeback.h"
 #include "health/health.h"
 #include "nettletrestle/router.h"
@@ -193,7 +194,7 @@
 
 class Router::Impl {
 public:
-    Impl(Settings s, std::uint64_t seed) : set_(std::move(s)), random_(seed), comeback_(set_) {
+    Impl(Settings s, std::uint64_t seed) : set_(std::move(s)), random_(seed), calls_(set_), comeback_(set_) {
         check(set_);
         key_ = set_.rank >= 0 ? static_cast<std::uint64_t>(set_.rank) : seed;
         usual_.reserve(set_.classes.size());
@@ -247,7 +248,7 @@
     void start() {
         begun_ = now_;
         actions_->emplace_back(SetTimer{kTick, kTickToken});
-        if (set_.list_on_request) actions_->emplace_back(SetTimer{comeback_.first_call(unit()), kWatchToken});
+        if (set_.list_on_request) actions_->emplace_back(SetTimer{calls_.first(unit()), kWatchToken});
     }
 
     // ---- events ----
@@ -342,9 +343,7 @@
     }
     bool may_use(const Request& r, const Server& s) const {
         if (s.group != r.a.group || (s.told_at >= 0 && !in_grace(s))) return false;
-        if (klass(r).effect == Effect::keyed && klass(r).repeat_scope == RepeatScope::zone && risky(r))
-            return s.zone == r.risk_zone;
-        return true;
+        return klass(r).repeat_scope != RepeatScope::zone || !risky(r) || s.zone == r.risk_zone;
     }
     // A draining primary still takes writes until it has handed over: better used than waited for.
     bool in_grace(const Server& s) const {
@@ -391,10 +390,10 @@
     // ---- list ----
     void on(const ServerList& l) {
         if (l.kind == ListKind::failed || !l.entries) {
-            actions_->emplace_back(SetTimer{comeback_.call_failed(unit()), kWatchToken});
+            actions_->emplace_back(SetTimer{calls_.failed(unit()), kWatchToken});
             return;
         }
-        if (l.kind != ListKind::cached) comeback_.list_told();
+        if (l.kind != ListKind::cached) comeback_.list_told(), calls_.told();
         if (l.kind != ListKind::changes)
             for (auto& [id, s] : servers_)
                 if (std::none_of(l.entries->begin(), l.entries->end(),
@@ -955,6 +954,7 @@
     std::map<ServerId, Server*> busy_;  // those with attempts out: the rest is not looked at every tick
     std::map<int, Group> groups_;
     route::ZoneHealth zones_;
+    route::Calls calls_;
     route::Comeback comeback_;
     std::unordered_map<RequestId, Request> requests_;
     std::map<std::pair<int, SessionId>, Time> marks_;
--- a/src/fleet/discovery/watch.cpp
+++ b/src/fleet/discovery/watch.cpp
@@ -1,21 +1,19 @@
 #include "discovery/watch.h"
 
-#include "comeback/comeback.h"
+#include <algorithm>
+
 #include "log/log.h"
 
 namespace sloestack::discovery {
 namespace {
 
-// How long discovery may hold a call back. What it has to tell counts as told 2 s after that at the latest,
-// so a silent call is given up before then.
-constexpr Micros kWait = 10'000'000;
-constexpr Micros kSilence = 1'800'000;
+constexpr Micros kLeastHold = 1'000;  // a call that is not held is answered at once, with or without changes
 constexpr std::size_t kMostUnread = 256 * 1024;
 
 }  // namespace
 
 Watch::Watch(net::Loop& loop, Deadlines& deadlines, const sockaddr_in& at, std::string host, Reader& lists,
-             std::optional<std::int64_t> revision, traffic::ListReader& reader, std::uint64_t seed)
+             std::optional<std::int64_t> revision, traffic::ListReader& reader, const Patience& patience)
     : loop_(loop),
       deadlines_(deadlines),
       at_(at),
@@ -23,7 +21,8 @@
       lists_(lists),
       revision_(revision),
       reader_(reader),
-      hold_(nettletrestle::route::first_hold(seed, kWait)) {}
+      times_(patience),
+      hold_(patience.first_hold) {}
 
 void Watch::start() {
     if (running_) return;
@@ -38,16 +37,19 @@
     response_.reset();
     connection_.reset();
     patience_.clear();
+    held_ = false;
     running_ = false;
     start();
 }
 
+// A held call shows only at its end whether discovery is still there: one is begun behind an answer alone.
 void Watch::call() {
     response_.emplace();
+    begun_at_ = deadlines_.now();
     reused_ = connection_ != nullptr;
     if (connection_) return write_call();
     up_ = false;
-    patience_.set(deadlines_, deadlines_.now() + kSilence, [this] { failed("cannot connect in time"); });
+    patience_.set(deadlines_, begun_at_ + times_.call, [this] { failed("cannot connect in time"); });
     connection_ = net::Connection::open(loop_, at_, kMostUnread, *this);
     if (!connection_) failed("no socket");
 }
@@ -57,11 +59,16 @@
     write_call();
 }
 
+// The time that its connection took comes off the hold: the sum is what counts.
 void Watch::write_call() {
-    patience_.set(deadlines_, deadlines_.now() + kSilence + (revision_ ? hold_ : 0), [this] { silent(); });
     std::string call = "GET /registry/instances";
-    if (revision_)
-        call += "?after=" + std::to_string(*revision_) + "&wait_ms=" + std::to_string(hold_ / 1000);
+    Time until = begun_at_ + times_.call;
+    if (revision_) {
+        const Micros hold = held_ ? std::max(kLeastHold, hold_ - (deadlines_.now() - begun_at_)) : kLeastHold;
+        if (held_) until = begun_at_ + hold_ + times_.late;
+        call += "?after=" + std::to_string(*revision_) + "&wait_ms=" + std::to_string(hold / 1000);
+    }
+    patience_.set(deadlines_, until, [this] { silent(); });
     connection_->write(call + " HTTP/1.1\r\nHost: " + host_ + "\r\nAccept: application/json\r\n\r\n");
 }
 
@@ -80,8 +87,9 @@
     response_.reset();
     if (response.status() != 200) return failed("status " + std::to_string(response.status()));
     auto list = lists_.read(response.body(), revision_);
-    if (revision_) hold_ = kWait;
+    if (revision_ && held_) hold_ = times_.hold;
     revision_ = list.revision;
+    called_ = held_ = true;
     if (!response.keeps_open()) connection_.reset();
     reader_.listed(list.complete ? nettletrestle::ListKind::complete : nettletrestle::ListKind::changes,
                    std::move(list.members));
@@ -102,13 +110,13 @@
     }
 }
 
-// What a silent watch has missed counts as told soon after its wait was over, so it is opened anew at once,
-// and not after a failed call's wait. Harm: none that adds up, since each proxy's were held for a time of
-// their own.
+// What a silent watch has missed is on its way to count as told, so it is opened anew at once, and not after
+// a failed call's wait. Harm: none that adds up, since each proxy's were held for a time of their own.
 void Watch::silent() {
-    if (!revision_) return failed("no answer in time");
+    if (!revision_ || !held_) return failed("no answer in time");
     log::line("discovery silent", "the watch is opened anew");
-    hold_ = kWait;
+    hold_ = times_.hold;
+    held_ = false;
     response_.reset();
     connection_.reset();
     call();
@@ -116,7 +124,8 @@
 
 void Watch::failed(const std::string& why) {
     log::line("discovery failed", why);
-    running_ = false;
+    running_ = held_ = false;
+    called_ = true;
     response_.reset();
     connection_.reset();
     patience_.clear();
--- a/src/fleet/discovery/watch.h
+++ b/src/fleet/discovery/watch.h
@@ -14,10 +14,12 @@
 
 class Watch final : public net::ConnectionEvents {
 public:
-    // `seed` tells this proxy's watch from others': its first call is held back for a drawn part of the time,
-    // so that watches which begin together do not end together ever after.
+    // How long a call is held and waited for: the schedule's (route/calls), all in us.
+    struct Patience {
+        Micros hold, first_hold, late, call;
+    };
     Watch(net::Loop& loop, Deadlines& deadlines, const sockaddr_in& at, std::string host, Reader& lists,
-          std::optional<std::int64_t> revision, traffic::ListReader& reader, std::uint64_t seed);
+          std::optional<std::int64_t> revision, traffic::ListReader& reader, const Patience& patience);
 
     // Starts the loop where it does not run. A failure ends it and is told to the reader, who decides when to
     // ask again.
@@ -25,6 +27,8 @@
     // Discovery is at another address from now on. Its whole list is asked for at once: what the old one told
     // last says nothing of where the new one's changes begin.
     void move(const sockaddr_in& at, std::string host);
+    // Whether a first call has had its answer or has failed.
+    bool has_called() const { return called_; }
 
     void connected() override;
     void received() override;
@@ -46,9 +50,12 @@
     traffic::ListReader& reader_;
     std::unique_ptr<net::Connection> connection_;
     std::optional<http::ResponseParser> response_;  // there while a call is out
+    Patience times_;
     Deadline patience_;
-    Micros hold_;  // how long discovery is to hold the next call back
-    bool running_ = false, up_ = false;
+    Time begun_at_ = 0;  // the call, its connection included
+    Micros hold_;        // how long discovery is to hold the next held call back
+    bool held_ = false;  // the next call is: the last one was answered, so discovery is there
+    bool running_ = false, up_ = false, called_ = false;
     bool reused_ = false;  // the call went out on a connection that had served another
 };
 
--- a/tests/net/scenarios.cpp
+++ b/tests/net/scenarios.cpp
@@ -436,6 +436,24 @@
         a send startup read:1
         a expect up ready
         m1.1 expect startup)");
+    // Lists that are pushed were never asked for: nothing that discovery said counted until a SIGHUP.
+    Setup pushed;
+    pushed.members = 2;
+    pushed.settings = {{"discovery", "pushed"}};
+    play("where lists are pushed the agent is asked at the start, and clients come in behind its word",
+         pushed, R"(
+        d.1 expect call:after=1
+        d.1 send list:5:changes:m1=terminating
+        d.1 expect call:after=5
+        a send startup read:1
+        a expect up ready
+        m2.1 expect startup)");
+    play("an agent that does not answer keeps nobody out", pushed, R"(
+        d.1 expect call:after=1
+        d.1 send status:503
+        d.2 expect call:after=1
+        a send startup empty
+        a expect up ready empty ready)");
     play("an answer that is no list is a failure", {}, R"(
         d.1 expect call:after=1
         d.1 send hex:485454502f312e3120323030204f4b0d0a436f6e74656e742d4c656e6774683a20330d0a0d0a7b7d7d
