Check each attempt right before its first byte, end clients by one lingering close

Lines to blame: Session::query bounds what is read behind an open request to 8 KiB by libevent's high watermark, and libevent triggers the callback again within the same turn while that is reached (bt in gdb: bufferevent_trigger, Session::received, without end). A client that sends 8 KiB behind a request held the proxy, all deadlines included, until the member answered.

By reading: a further attempt that waits for its connection could begin behind its window for repeats; clients' connections were closed in seven ways, most after a peek, which leaves a gap for a reset that takes the last answer; an end of input while finishing dropped what was unwritten; a listener was closed over accepted clients; shares of under 112 descriptors were given out twice.

The decision module no longer uses a draining primary for half of its grace. A greeting's key is left out of the digests by which recordings are compared: it differs from connection to connection.

--- a/include/nettletrestle/router.h
+++ b/include/nettletrestle/router.h
@@ -139,6 +139,9 @@
     RequestId request = 0;
     ServerId server = 0;
     Micros timeout_us = 0;
+    // A repeat of what may have run: written within that time or not at all, however long its connection
+    // takes.
+    std::optional<Micros> begin_within_us = {};
 };
 // Why the router gave a request up.
 enum class Cause {
--- a/src/app/server/server.cpp
+++ b/src/app/server/server.cpp
@@ -29,7 +29,6 @@
     };
     if (s.connect_timeout_us > 0) out.connect_timeout_us = s.connect_timeout_us;
     if (s.idle_limit_us > 0) out.idle_limit_us = s.idle_limit_us;
-    out.drain_grace_us = s.router.drain_grace_us;
     out.gone_is_advice = s.router.gone_is_advice;
     return out;
 }
@@ -94,6 +93,7 @@
       memory_mb_(config.memory_mb),
       clients_(net::share(config.sockets).clients),
       overflow_(net::share(config.sockets).overflow),
+      lingering_(net::share(config.sockets).lingering),
       members_(net::share(config.sockets).members),
       ledger_(net::bytes_for_clients(config.memory_mb)),
       room_(net::bytes_for_clients(config.memory_mb)),
@@ -110,9 +110,9 @@
     proxy_.attach({pool_, [this] { watch_->start(); },
                    [this](auto kind, const auto& entries) { pool_.listed(kind, entries); }});
     door_ = std::make_unique<clients::Door>(
-        loop_, deadlines_, clients_, overflow_, ledger_, room_, numbers_,
+        loop_, deadlines_, clients::Door::Quotas{clients_, overflow_, lingering_}, ledger_, room_, numbers_,
         clients::Entrance{config.listen, config.passed_socket}, proxy_, config.settings.class_names,
-        sessions_named(config.settings.router), longest_wait(config.settings.router));
+        sessions_named(config.settings.router), longest_wait(config.settings.router), config.seed);
     if (config.control)
         control_ = std::make_unique<control::Door>(loop_, deadlines_, *config.control,
                                                    static_cast<control::Operated&>(*this));
@@ -139,6 +139,7 @@
     const auto shares = net::share(sockets_ / processes);
     clients_.allow(shares.clients);
     overflow_.allow(shares.overflow);
+    lingering_.allow(shares.lingering);
     members_.allow(shares.members);
     ledger_.allow(net::bytes_for_clients(memory_mb_) / static_cast<std::size_t>(processes));
     room_.allow(net::bytes_for_clients(memory_mb_) / static_cast<std::size_t>(processes));
--- a/src/app/server/server.h
+++ b/src/app/server/server.h
@@ -20,8 +20,8 @@
 
 class Server final : private control::Operated, private succession::Estate {
 public:
-    // Throws config::BadConfig, or std::runtime_error where the address cannot be listened on.
-    // The clock outlives it.
+    // Throws config::BadConfig, or std::runtime_error where the address cannot be listened on. The clock
+    // outlives it.
     explicit Server(const config::Config& config, const Clock& clock = system_clock());
 
     // Waits for something to happen, `at_most` that long, and deals with all that has.
@@ -58,7 +58,7 @@
     Deadlines deadlines_;
     int sockets_;
     std::int64_t memory_mb_;
-    net::Quota clients_, overflow_, members_;
+    net::Quota clients_, overflow_, lingering_, members_;
     net::Ledger ledger_;  // of what clients have sent and not had answered, or been sent and not taken
     net::Room room_;      // for large statements
     numbers::Numbers numbers_;
--- a/src/core/proxy/proxy.cpp
+++ b/src/core/proxy/proxy.cpp
@@ -64,9 +64,12 @@
         events_.emplace_back(module::ClientGone{request});
 }
 
-bool Proxy::still_wanted(traffic::RequestId request) const {
+bool Proxy::still_wanted(traffic::RequestId request) {
     const auto found = open_.find(request);
-    return found != open_.end() && found->second.asker && deadlines_.now() < found->second.not_after;
+    if (found == open_.end() || !found->second.asker) return false;
+    if (!found->second.asker->has_left()) return deadlines_.now() < found->second.not_after;
+    withdraw(request);
+    return false;
 }
 
 bool Proxy::answer_started(const module::AnswerStarted& start, const traffic::Value& head, std::size_t size,
@@ -122,8 +125,9 @@
             ready_.erase(e.server.server);
         groups_.insert(e.server.group);
     }
-    hands_->list_changed(kind, entries);
+    // Told to the module first: attempts that the change takes back are decided anew by the new list.
     events_.emplace_back(module::ServerList{kind, std::move(servers)});
+    hands_->list_changed(kind, entries);
 }
 
 // ---- actions ----
@@ -161,6 +165,7 @@
     attempt.server = a.server;
     attempt.statement = open.statement;
     attempt.give_up_at = a.timeout_us > 0 ? std::min(open.not_after, now + a.timeout_us) : open.not_after;
+    if (a.begin_within_us) attempt.begin_by = now + *a.begin_within_us;
     hands_->members.send(attempt);
 }
 
--- a/src/core/proxy/proxy.h
+++ b/src/core/proxy/proxy.h
@@ -44,7 +44,7 @@
     void piece(traffic::RequestId request, std::string_view bytes) override;
     void attempt_ended(const nettletrestle::AttemptEnded& end, std::optional<traffic::Value> value) override;
     void probe_ended(const nettletrestle::ProbeEnded& end) override;
-    bool still_wanted(traffic::RequestId request) const override;
+    bool still_wanted(traffic::RequestId request) override;
     // ListReader
     void listed(nettletrestle::ListKind kind, std::vector<traffic::Entry> entries) override;
 
--- a/src/core/traffic/traffic.h
+++ b/src/core/traffic/traffic.h
@@ -51,6 +51,7 @@
     ServerId server = 0;
     std::shared_ptr<const Statement> statement;
     Time give_up_at = 0;
+    std::optional<Time> begin_by = {};  // its first byte is written by then or never
 };
 
 // Where an answer passed on in pieces comes from.
@@ -75,6 +76,8 @@
     virtual void cut_off() = 0;  // no more comes, and what has come is worth nothing
     virtual void refused(Micros retry_after) = 0;
     virtual void failed() = 0;
+    // Whether its client has gone, by a look at the connection as it is now: callbacks may not have told yet.
+    virtual bool has_left() = 0;
 
 protected:
     ~Asker() = default;
@@ -109,8 +112,9 @@
     // `value` is there if and only if the outcome is ok.
     virtual void attempt_ended(const nettletrestle::AttemptEnded& end, std::optional<Value> value) = 0;
     virtual void probe_ended(const nettletrestle::ProbeEnded& end) = 0;
-    // Whether the request still waits for its answer: asked again before an attempt's first byte.
-    virtual bool still_wanted(RequestId request) const = 0;
+    // Whether the request still waits for its answer and its client is there: asked again before an attempt's
+    // first byte. A request whose client has left is withdrawn by that.
+    virtual bool still_wanted(RequestId request) = 0;
 
 protected:
     ~Results() = default;
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -76,7 +76,7 @@
 constexpr Micros kProbeShare = 60'000;    // us; ... and for each router: a herd probes no more than a few
 constexpr double kFirstProbes = 6;        // of a member, by all routers together, as they first use its group
 constexpr double kRetryShare = 0.2;       // of the aim; base advice: a try after it can be in time
-constexpr double kDrainSafe = 0.5;        // of the grace: a draining primary may still be used
+constexpr Micros kRepeatMargin = 20'000;  // us; of the window for repeats, kept for the way to the member
 constexpr Micros kForgetAfter = 60'000'000;  // us; a member told gone is kept so long
 constexpr int kScanMost = 64;                // waiting requests looked at in a round, per class
 constexpr std::uint32_t kTickToken = 1, kWatchToken = 2;
@@ -339,21 +339,20 @@
         if (static_cast<int>(r.attempts.size()) >= set_.max_attempts || now_ >= r.a.not_after) return false;
         if (r.open > 0 && !set_.second_copies) return false;
         if (c.effect == Effect::safe || !risky(r)) return true;
-        return c.effect == Effect::keyed && now_ - r.first_risk < c.repeat_window_us;
+        return window_left(r) > 0;
     }
-    bool may_use(const Request& r, const Server& s) const {
-        if (s.group != r.a.group || (s.told_at >= 0 && !in_grace(s))) return false;
-        return klass(r).repeat_scope != RepeatScope::zone || !risky(r) || s.zone == r.risk_zone;
+    std::optional<Micros> window_left(const Request& r) const {  // for a repeat of what may have run
+        if (klass(r).effect != Effect::keyed || !risky(r)) return std::nullopt;
+        return klass(r).repeat_window_us - kRepeatMargin - (now_ - r.first_risk);
     }
-    // A draining primary still takes writes until it has handed over: better used than waited for.
-    bool in_grace(const Server& s) const {
-        return s.draining && groups_.at(s.group).primary == s.id &&
-               now_ - s.told_at < us(kDrainSafe * num(set_.drain_grace_us));
+    bool may_use(const Request& r, const Server& s) const {
+        if (s.group != r.a.group || s.told_at >= 0) return false;
+        return klass(r).repeat_scope != RepeatScope::zone || !window_left(r) || s.zone == r.risk_zone;
     }
-
     bool send(Request& r, Server& s, Micros cap) {
         if (!may_send_again(r) || !may_use(r, s)) return false;
         const double work = work_of(r);
+        const auto within = window_left(r);
         if (klass(r).effect != Effect::safe && !risky(r)) r.first_risk = now_, r.risk_zone = s.zone;
         s.out[{r.a.request, static_cast<int>(r.attempts.size())}] =
             Out{now_, usual(r) * std::max({1.0, spread_, slowness(s)}), work};
@@ -361,7 +360,7 @@
         if (is_cold(s)) s.cold_credit -= work;
         r.attempts.push_back(Attempt{s.id});
         ++r.open, r.queued = false, r.blocked = Cause::no_member;
-        actions_->emplace_back(Send{r.a.request, s.id, cap});
+        actions_->emplace_back(Send{r.a.request, s.id, cap, within});
         return true;
     }
     void refuse(Request& r, Micros wait, Cause cause) {
--- a/src/fleet/upstream/pool.cpp
+++ b/src/fleet/upstream/pool.cpp
@@ -14,7 +14,6 @@
 constexpr traffic::RequestId kProbes = 0;  // no request has this number
 constexpr Micros kProbeTimeout = 250'000;
 constexpr Micros kIdleMargin = 1'000'000;  // ours close this much before the members' would
-constexpr Micros kGraceMargin = 20'000;    // of the drain grace, kept for the way to the member
 // How long a link rests after an answer before it carries the next query. Guards against a second copy or
 // noise that comes a moment behind an answer and would be read as the next one.
 constexpr Micros kRest = 20'000;
@@ -26,7 +25,7 @@
 struct Pool::Member {
     traffic::ServerId id = 0;
     std::optional<sockaddr_in> address;
-    Time told_at = -1;  // told that it drains or is gone
+    bool leaving = false;  // the list says that it drains or is gone: nothing new goes there
     bool gone = false;
     Links links;                // all of them
     std::vector<Link*> idle;    // the one used last at the back
@@ -62,7 +61,7 @@
         for (auto& [id, member] : members_)
             if (std::none_of(entries.begin(), entries.end(),
                              [id = id](const auto& e) { return e.server.server == id; }))
-                member->gone = true, told(*member, !settings_.gone_is_advice);
+                member->gone = true, member->leaving = !settings_.gone_is_advice;
     for (const auto& e : entries) {
         auto& slot = members_[e.server.server];
         if (!slot) slot = std::make_unique<Member>();
@@ -74,24 +73,25 @@
                             address->sin_port != m.address->sin_port);
         if (address) m.address = address;
         m.gone = e.server.state == ServerState::gone;
-        const bool leaving = e.server.state == ServerState::draining || (m.gone && !settings_.gone_is_advice);
-        if (moved || leaving)
+        m.leaving = e.server.state == ServerState::draining || (m.gone && !settings_.gone_is_advice);
+        if (moved)
             while (!m.idle.empty()) drop(*m.idle.back());
         if (moved)
             for (const auto& link : m.links) by_link_.at(link.get()).outdated = true;
-        told(m, leaving);
     }
+    for (auto& [id, member] : members_)
+        if (member->leaving) take_back(*member);
     for (auto it = members_.begin(); it != members_.end();) {
         auto& m = *it->second;
         it = m.gone && m.links.empty() && m.waiting.empty() ? members_.erase(it) : std::next(it);
     }
 }
 
-void Pool::told(Member& member, bool leaving) {
-    if (!leaving)
-        member.told_at = -1;
-    else if (member.told_at < 0)
-        member.told_at = deadlines_.now();
+// Nothing new goes to one that leaves: what still waits for a connection is the module's to decide again.
+void Pool::take_back(Member& member) {
+    while (!member.idle.empty()) drop(*member.idle.back());
+    const auto waiting = std::exchange(member.waiting, {});
+    for (auto* job : waiting) end(*job, Outcome::moot);
 }
 
 // ---- attempts and probes ----
@@ -117,6 +117,7 @@
     const auto member = members_.find(job.attempt.server);
     if (member == members_.end() || !member->second->address) return end(job, Outcome::connect_failed);
     job.member = member->second.get();
+    if (!may_begin(job)) return end(job, Outcome::moot);
     job.give_up_at.set(deadlines_, job.attempt.give_up_at, [this, &job] { give_up(job, Outcome::timeout); });
     job.connect_by.set(deadlines_, job.sent_at + settings_.connect_timeout_us,
                        [this, &job] { give_up(job, Outcome::connect_failed); });
@@ -181,16 +182,16 @@
     return true;
 }
 
-// Asked just before an attempt's first byte: it may have waited long for its connection.
-bool Pool::may_still_send(const Member& member, const Job& job) const {
-    if (member.told_at >= 0 &&
-        deadlines_.now() > member.told_at + std::max<Micros>(0, settings_.drain_grace_us - kGraceMargin))
-        return false;
+// The one check before an attempt's first byte, first or further, that has waited for its connection or not:
+// the member stays, the window for repeats is open, time is left and the client is there.
+bool Pool::may_begin(const Job& job) {
+    if (job.member->leaving) return false;
+    if (job.attempt.begin_by && deadlines_.now() >= *job.attempt.begin_by) return false;
     return job.is_probe() || results_.still_wanted(job.attempt.request);
 }
 
 bool Pool::begin(Link& link, Job& job) {
-    if (!may_still_send(*job.member, job)) {
+    if (!may_begin(job)) {
         end(job, Outcome::moot);
         return false;
     }
@@ -285,7 +286,7 @@
 }
 
 void Pool::became_idle(Member& member, Link& link) {
-    if ((member.told_at >= 0 || quota_.over()) && member.waiting.empty()) return drop(link);
+    if ((member.leaving || quota_.over()) && member.waiting.empty()) return drop(link);
     if (by_link_.at(&link).outdated) {
         drop(link);
         return serve_waiting(member);
@@ -294,9 +295,6 @@
     const auto stands = std::max(settings_.idle_limit_us - kIdleMargin, settings_.idle_limit_us / 2);
     link.deadline.set(deadlines_, deadlines_.now() + stands, [this, &link] { drop(link); });
     serve_waiting(member);
-    // What waited may not have been sent after all: guards against links left standing at one that leaves.
-    if (member.told_at >= 0)
-        while (!member.idle.empty()) drop(*member.idle.back());
 }
 
 void Pool::link_ready(Link& link) {
--- a/src/fleet/upstream/pool.h
+++ b/src/fleet/upstream/pool.h
@@ -21,7 +21,6 @@
     LinkMaker link;  // of the protocol that these members speak
     Micros connect_timeout_us = 250'000;
     Micros idle_limit_us = 15'000'000;  // the members'; ours are closed before
-    Micros drain_grace_us = 0;
     bool gone_is_advice = false;
 };
 
@@ -49,14 +48,14 @@
     void serve_waiting(Member& member);
     bool open_link(Member& member);
     bool close_an_idle_link();
-    bool may_still_send(const Member& member, const Job& job) const;
+    bool may_begin(const Job& job);
     bool begin(Link& link, Job& job);
     void rest(Member& member, Link& link);
     void became_idle(Member& member, Link& link);
     void give_up(Job& job, nettletrestle::Outcome outcome);
     void end(Job& job, nettletrestle::Outcome outcome, Answer* answer = nullptr);
     void drop(Link& link);
-    void told(Member& member, bool leaving);
+    void take_back(Member& member);
 
     void link_ready(Link& link) override;
     void link_sent(Link& link) override;
--- a/src/front/clients/door.cpp
+++ b/src/front/clients/door.cpp
@@ -20,20 +20,31 @@
 constexpr Micros kRests = 500'000;        // a connection not used for that long is closed early
 constexpr Micros kLeaveEarly = 800'000;   // before the longest wait is over: from then on all are closed
 constexpr Micros kLastAnswer = 500'000;   // after it, what still waits is told that it has failed
+constexpr Micros kLastLinger = 100'000;   // and its connection is closed whether the client has ended or not
 constexpr Micros kLook = 50'000;
 
 }  // namespace
 
-Door::Door(net::Loop& loop, Deadlines& deadlines, net::Quota& quota, net::Quota& overflow,
-           net::Ledger& ledger, net::Room& room, numbers::Numbers& numbers, const Entrance& at,
-           traffic::Desk& desk, std::vector<std::string> class_names, bool sessions_named,
-           Micros longest_wait)
+Door::Door(net::Loop& loop, Deadlines& deadlines, const Quotas& quotas, net::Ledger& ledger, net::Room& room,
+           numbers::Numbers& numbers, const Entrance& at, traffic::Desk& desk,
+           std::vector<std::string> class_names, bool sessions_named, Micros longest_wait, std::uint64_t seed)
     : loop_(loop),
       deadlines_(deadlines),
-      quota_(quota),
-      overflow_(overflow),
+      quota_(quotas.clients),
+      overflow_(quotas.overflow),
+      lingering_(quotas.lingering),
       at_(at),
-      office_{loop, deadlines, desk, ledger, room, quota, numbers, std::move(class_names), sessions_named},
+      office_{loop,
+              deadlines,
+              desk,
+              ledger,
+              room,
+              quotas.clients,
+              lingering_,
+              numbers,
+              std::move(class_names),
+              sessions_named,
+              CancelKeys(seed)},
       longest_wait_(std::min(longest_wait, kLongestWait)) {}
 
 Door::~Door() = default;
@@ -47,7 +58,7 @@
     for (auto it = sessions_.begin(); it != sessions_.end() && resting * kRestingShare > quota_.most();) {
         auto& s = **it++;  // closing takes it off the list
         if (!s.has_asked() || s.quiet_since() > now - kRestsInCrowd || !s.rests()) continue;
-        s.close();
+        s.finish();
         --resting;
     }
     tidy_.set(deadlines_, now + kTidyEvery, [this] { tidy(); });
@@ -95,19 +106,30 @@
 // Who only stands at the door goes first, then whoever has idled longest: guards the clients' share against
 // those that come by the hundreds and say nothing.
 bool Door::make_room() {
+    // Its descriptor is wanted now: the longest to linger gives its own, and is closed as it would be in a
+    // moment.
+    if (lingering_.full()) {
+        const auto oldest =
+            std::find_if(sessions_.begin(), sessions_.end(), [](const auto& s) { return s->lingers(); });
+        if (oldest == sessions_.end()) return false;
+        (*oldest)->close();
+    }
     for (const auto may_go : {&Session::idles_at_the_door, &Session::rests})
         for (auto& s : sessions_)
             if ((s.get()->*may_go)()) {
-                s->close();
+                s->finish();
                 return true;
             }
     return false;
 }
 
 void Door::fit() {
-    for (auto it = sessions_.begin(); quota_.over() && it != sessions_.end();) {
+    int many = quota_.taken() - quota_.most();
+    for (auto it = sessions_.begin(); many > 0 && it != sessions_.end();) {
         auto& s = **it++;  // closing takes it off the list
-        if (s.rests()) s.close();
+        if (!s.rests()) continue;
+        s.finish();
+        --many;
     }
 }
 
@@ -115,6 +137,7 @@
     if (stopping_since_) return;
     succeeded_ = succeeded;
     stopping_since_ = deadlines_.now();
+    office_.linger_until = stopping_since_ + longest_wait_ + kLastAnswer + kLastLinger;
     log::line("stopping", std::to_string(sessions_.size()) + " clients connected");
     wind_down();
 }
@@ -143,6 +166,9 @@
 
 void Door::stop_listening() {
     resume_.clear();
+    if (!listener_) return;
+    // Those that the kernel has taken already are served or told; once nothing listens they would be reset.
+    listener_->take_all();
     listener_.reset();
 }
 
--- a/src/front/clients/door.h
+++ b/src/front/clients/door.h
@@ -19,9 +19,16 @@
 
 class Door final : private SessionOwner {
 public:
-    Door(net::Loop& loop, Deadlines& deadlines, net::Quota& quota, net::Quota& overflow, net::Ledger& ledger,
-         net::Room& room, numbers::Numbers& numbers, const Entrance& at, traffic::Desk& desk,
-         std::vector<std::string> class_names, bool sessions_named, Micros longest_wait);
+    // The shares of descriptors that clients' connections have, by what state these are in.
+    struct Quotas {
+        net::Quota& clients;
+        net::Quota& overflow;   // of those that are only told to come again
+        net::Quota& lingering;  // of those that have ended on this side
+    };
+    // `seed` is for the keys that clients cancel by.
+    Door(net::Loop& loop, Deadlines& deadlines, const Quotas& quotas, net::Ledger& ledger, net::Room& room,
+         numbers::Numbers& numbers, const Entrance& at, traffic::Desk& desk,
+         std::vector<std::string> class_names, bool sessions_named, Micros longest_wait, std::uint64_t seed);
     ~Door();
 
     // Begins to accept. Throws std::runtime_error where the address cannot be listened on.
@@ -53,6 +60,7 @@
     Deadlines& deadlines_;
     net::Quota& quota_;
     net::Quota& overflow_;
+    net::Quota& lingering_;
     Entrance at_;
     Office office_;
     Sessions sessions_;  // the one used last at the back
--- a/src/front/clients/session.cpp
+++ b/src/front/clients/session.cpp
@@ -25,9 +25,10 @@
 constexpr Micros kLookForRoom = 5'000;
 constexpr Micros kIdle = 10'000'000;         // a client that asks no more is let go; it may come again
 constexpr Micros kTakesNothing = 5'000'000;  // a client that takes nothing of its answers for so long, too
-constexpr Micros kLinger = 1'000'000;        // for a client to read its last error before the end
+constexpr Micros kLinger = 1'000'000;        // for a client to read its last answer and to close as well
 constexpr Micros kAtTheDoor = 50'000;        // for a client to say its first word where others wait
-constexpr Micros kHalfClosedLook = 2'000;
+constexpr Micros kFirstLook = 2'000;  // whether a client whose input ended has left: a round trip later ...
+constexpr Micros kNextLook = 10'000;  // ... and again while it waits: a reset may come at any time
 constexpr Micros kBusyAdvice = 1'000'000;
 
 std::uint64_t hash(std::string_view text) {
@@ -61,6 +62,17 @@
 
 }  // namespace
 
+CancelKey CancelKeys::add(Session& session) {
+    const CancelKey key{++last_, static_cast<std::uint32_t>(random_())};
+    sessions_[key.process] = {key.secret, &session};
+    return key;
+}
+
+Session* CancelKeys::find(std::uint32_t process, std::uint32_t secret) const {
+    const auto found = sessions_.find(process);
+    return found != sessions_.end() && found->second.first == secret ? found->second.second : nullptr;
+}
+
 Session::Session(Office& office, SessionOwner& owner, evutil_socket_t fd, net::Slot slot, bool turned_away)
     : office_(office),
       owner_(owner),
@@ -68,11 +80,14 @@
       turned_away_(turned_away),
       came_at_(office.deadlines.now()) {
     connection_ = net::Connection::accepted(office_.loop, fd, kStartupUnread, *this, &office_.ledger);
-    if (connection_) renew_limit();
+    if (!connection_) return;
+    key_ = office_.keys.add(*this);
+    renew_limit();
 }
 
 Session::~Session() {
     office_.room.leave(this);
+    office_.keys.remove(key_);
     give_back_id();
     if (request_) office_.desk.withdraw(request_);
 }
@@ -87,7 +102,7 @@
 
 // One whose first words are still coming does not idle: guards those that write slowly.
 bool Session::idles_at_the_door() const {
-    if (state_ == State::finishing) return connection_->unwritten() == 0;
+    if (ends()) return false;
     return !asked_ && office_.deadlines.now() - came_at_ > kAtTheDoor && is_silent();
 }
 
@@ -96,13 +111,14 @@
     if (state_ == State::finishing) return connection_->consume(connection_->held());
     read_at_ = office_.deadlines.now();
     read_all();
+    if (input_is_held() && !look_.is_set()) look_whether_left(kNextLook);
     // Each session keeps within its own bound; this guards the memory against all of them at once.
     if (state_ == State::open && !request_ && office_.ledger.over() && connection_->held() > kFairShare)
         end_with(pgwire::code::kOutOfMemory, "too much is waiting to be read");
 }
 
 void Session::drained() {
-    if (state_ == State::finishing) return last_word_out();
+    if (state_ == State::finishing) return linger();
     if (source_) {
         source_->hold(false);
         return renew_limit();
@@ -209,27 +225,30 @@
 
 void Session::out_of_time() {
     if (connection_->unwritten() > 0) {
-        if (connection_->sent() == taken_) return close();
+        if (connection_->sent() == taken_) return close();  // takes nothing: there is no order to end in
         return renew_limit();
     }
     if (state_ == State::open && (connection_->held() > 0 || large_))
         return end_with(pgwire::code::kProtocolViolation, "a message without its end");
     // What waits in the kernel is about to be read: guards against closing as a request comes in.
     if (state_ == State::open && connection_->unwritten() == 0 && !between_requests()) return renew_limit();
-    close();
+    finish();
 }
 
 void Session::start_up(std::string_view body) {
     const auto asked = pgwire::read_startup(body);
     if (asked.kind == pgwire::Startup::encryption) return reply("N");
-    if (asked.kind == pgwire::Startup::cancel)
-        return close();  // queries here cannot be cancelled from outside
+    if (asked.kind == pgwire::Startup::cancel) {
+        // As PostgreSQL has it: nothing is answered here, and whoever it names hears of it where it waits.
+        if (auto* other = office_.keys.find(asked.process, asked.secret)) other->cancel();
+        return finish();
+    }
     state_ = State::open;
     connection_->bound_unread(kMostUnread);
     std::string out;
     Builder build(out);
     if (asked.minor > 0) build.negotiate_minor();
-    build.greeting();
+    build.greeting(key_.process, key_.secret);
     reply(out);
 }
 
@@ -347,30 +366,67 @@
 
 // ---- the end ----
 // An end of input alone does not tell a client that has left from one that has only finished asking. Whoever
-// has left answers a byte with a reset; whoever still reads skips a notice.
+// has left answers a byte with a reset, sooner or later; whoever still reads skips a notice.
 void Session::ended(net::Ending how) {
-    if (how == net::Ending::broken || state_ == State::finishing) return close();
+    if (how == net::Ending::broken) return close();
     input_over_ = true;
+    if (state_ == State::finishing) return connection_->unwritten() > 0 ? void() : close();
     read_all();
-    if (!request_ || state_ == State::closed) return;
-    std::string out;
-    Builder(out).notice("input has ended; the answer still comes");
-    reply(out);
-    look_.set(office_.deadlines, office_.deadlines.now() + kHalfClosedLook,
-              [this] { look_at_half_closed(); });
+    if (request_ && state_ != State::closed) look_whether_left(kFirstLook);
+}
+
+// Input that waits behind an open request is not read: an end or a reset behind it shows by a look alone.
+bool Session::input_is_held() const {
+    return request_ && state_ == State::open && connection_->held() >= kBehindRequest;
+}
+
+void Session::look_whether_left(Micros from_now) {
+    if (!told_of_end_ && (input_over_ || connection_->peer_has_ended())) {
+        told_of_end_ = true;
+        std::string out;
+        Builder(out).notice("input has ended; the answer still comes");
+        reply(out);
+    }
+    look_.set(office_.deadlines, office_.deadlines.now() + from_now, [this] {
+        if (!connection_->healthy()) return close();
+        if (request_ && (input_over_ || input_is_held())) look_whether_left(kNextLook);
+    });
 }
 
-void Session::look_at_half_closed() {
-    if (!connection_->healthy()) close();
+bool Session::has_left() {
+    if (connection_->healthy()) return false;
+    // Asked amid a turn: the session ends with the next sweep.
+    look_.set(office_.deadlines, office_.deadlines.now(), [this] { close(); });
+    return true;
 }
 
+// The client waits no more for what it asked, and goes on with the connection. An answer that has begun goes
+// on as well: it cannot be taken back.
+void Session::cancel() {
+    if (!request_ || source_ || state_ != State::open) return;
+    office_.desk.withdraw(std::exchange(request_, 0));
+    office_.numbers.answered(klass_, numbers::Numbers::errors);
+    std::string out;
+    Builder(out).error("ERROR", pgwire::code::kQueryCanceled, "canceled at the client's request").ready();
+    answered(out);
+}
+
+// The one way in which a client's connection ends while it is whole, a lingering close: what is written
+// leaves, then the end of ours is told (shutdown), what still comes is read and dropped until the client ends
+// too or the bound is over, and only then is it closed. To close over unread input would be a reset, which
+// can take the last answer with it. From here on nothing that comes is taken as a request: its sender has had
+// no answer and may ask again elsewhere.
 void Session::finish() {
     if (state_ == State::closed || state_ == State::finishing) return;
     state_ = State::finishing;
     office_.room.leave(this);
+    large_.reset();
     look_.clear();
     go_on_.clear();
-    if (connection_->unwritten() == 0) return last_word_out();
+    if (auto slot = office_.lingering.take()) slot_ = std::move(slot);
+    connection_->consume(connection_->held());
+    connection_->bound_unread(kMostUnread);
+    if (connection_->unwritten() == 0) return linger();
     taken_ = connection_->sent();
     limit_.set(office_.deadlines, office_.deadlines.now() + kTakesNothing, [this] { last_words_stand(); });
 }
@@ -381,21 +437,26 @@
     limit_.set(office_.deadlines, office_.deadlines.now() + kTakesNothing, [this] { last_words_stand(); });
 }
 
-// To close while input is unread resets the connection, and a reset can take the last error with it: the
-// client first gets the time to read it, and what still comes is dropped.
-void Session::last_word_out() {
+void Session::linger() {
+    if (lingers_) return;
+    lingers_ = true;
     connection_->consume(connection_->held());
-    if (!lingers_ && (input_over_ || connection_->quiet())) return close();
     connection_->end_writing();
-    limit_.set(office_.deadlines, office_.deadlines.now() + kLinger, [this] { close(); });
+    const Time until = std::min(office_.deadlines.now() + kLinger, office_.linger_until);
+    // A client that has ended its input has nothing left to be read; closed with the next sweep, since the
+    // owner may be going through its sessions.
+    limit_.set(office_.deadlines, input_over_ ? office_.deadlines.now() : until, [this] { close(); });
 }
 
 void Session::abandon() {
-    if (!request_ || source_) return close();  // of a begun answer, the client can tell that it is not whole
-    office_.desk.withdraw(std::exchange(request_, 0));
-    give_back_id();
-    office_.numbers.answered(klass_, numbers::Numbers::errors);
-    say_error(pgwire::code::kAdminShutdown, "the proxy is stopping");
+    if (request_) {
+        office_.desk.withdraw(std::exchange(request_, 0));
+        give_back_id();
+        office_.numbers.answered(klass_, numbers::Numbers::errors);
+        // Of a begun answer the client can tell by the end alone that it is not whole.
+        if (!std::exchange(source_, nullptr))
+            say_error(pgwire::code::kAdminShutdown, "the proxy is stopping");
+    }
     finish();
 }
 
@@ -428,13 +489,13 @@
     std::string out;
     Builder(out).error("FATAL", sqlstate, what);
     reply(out);
-    lingers_ = !input_over_;
     finish();
 }
 
 void Session::answered(const std::string& bytes) {
     request_ = 0;
     give_back_id();
+    look_.clear();
     answered_at_ = office_.deadlines.now();
     connection_->bound_unread(kMostUnread);
     reply(bytes);
@@ -485,7 +546,8 @@
     source_ = nullptr;
     office_.numbers.answered(klass_, numbers::Numbers::errors);
     request_ = 0;
-    close();
+    give_back_id();
+    finish();
 }
 
 void Session::refused(Micros retry_after) {
--- a/src/front/clients/session.h
+++ b/src/front/clients/session.h
@@ -3,9 +3,12 @@
 #pragma once
 
 #include <algorithm>
+#include <limits>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
+#include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
@@ -18,6 +21,26 @@
 
 namespace sloestack::clients {
 
+class Session;
+
+// The keys by which a client may cancel its request from another connection, handed out with the greeting.
+// The secret is drawn from the process's seed: whoever has not been told it does not guess it.
+struct CancelKey {
+    std::uint32_t process = 0, secret = 0;
+};
+class CancelKeys {
+public:
+    explicit CancelKeys(std::uint64_t seed) : random_(seed) {}
+    CancelKey add(Session& session);
+    void remove(const CancelKey& key) { sessions_.erase(key.process); }
+    Session* find(std::uint32_t process, std::uint32_t secret) const;
+
+private:
+    std::mt19937_64 random_;
+    std::uint32_t last_ = 0;
+    std::unordered_map<std::uint32_t, std::pair<std::uint32_t, Session*>> sessions_;
+};
+
 // What the sessions share.
 struct Office {
     net::Loop& loop;
@@ -26,14 +49,16 @@
     net::Ledger& ledger;
     net::Room& room;  // for statements too large to be gathered in passing
     const net::Quota& quota;
+    net::Quota& lingering;  // of connections that have ended on this side
     numbers::Numbers& numbers;
     std::vector<std::string> class_names;
-    bool sessions_named = false;                    // some class reads what its session has written
-    bool closing = false;                           // sessions end after their next answer
-    std::unordered_set<std::string> open_ids = {};  // of the requests that wait for their answers
+    bool sessions_named = false;  // some class reads what its session has written
+    CancelKeys keys{0};
+    bool closing = false;                                  // sessions end after their next answer
+    Time linger_until = std::numeric_limits<Time>::max();  // for a client to end as well
+    std::unordered_set<std::string> open_ids = {};         // of the requests that wait for their answers
 };
 
-class Session;
 class SessionOwner {
 public:
     virtual void used(Session& session) = 0;
@@ -54,14 +79,19 @@
     bool has_asked() const { return asked_; }
     // The same, and its last answer has left as well: may be closed at once.
     bool rests() const;
-    // Of no use to a client that asks: it has said nothing for a while since it came, or it is ending.
+    // Of no use to a client that asks: it has said nothing for a while since it came.
     bool idles_at_the_door() const;
     Time quiet_since() const { return std::max({came_at_, read_at_, answered_at_}); }
     // Answers at once that what was asked has failed, and ends.
     void abandon();
-    // Ends the session once what is written has left.
+    // Ends the session in order, by a lingering close.
     void finish();
+    bool ends() const { return state_ == State::finishing || state_ == State::closed; }
+    bool lingers() const { return lingers_; }
+    // At once: of use after an error of the connection, or where a lingering one takes too long.
     void close();
+    // The client's own word from another connection: what it waits for is answered as canceled, at once.
+    void cancel();
 
     void received() override;
     void drained() override;
@@ -81,8 +111,9 @@
     bool is_silent() const;  // nothing of the client's is here or in the kernel, and it may be spoken to
     void message(const pgwire::Message& m);
     void query(std::string statement, std::shared_ptr<void> room = {});
-    void look_at_half_closed();
-    void last_word_out();
+    bool input_is_held() const;
+    void look_whether_left(Micros from_now);
+    void linger();
     void last_words_stand();
     void reply(const std::string& bytes);
     void end_with(std::string_view sqlstate, std::string_view what);
@@ -96,13 +127,17 @@
     void cut_off() override;
     void refused(Micros retry_after) override;
     void failed() override;
+    bool has_left() override;
 
     Office& office_;
     SessionOwner& owner_;
     net::Slot slot_;
     bool turned_away_;
     State state_ = State::startup;
-    bool skip_to_sync_ = false, input_over_ = false, reading_ = false, lingers_ = false;
+    bool skip_to_sync_ = false, input_over_ = false, reading_ = false;
+    bool lingers_ = false;      // finishing, and all has left
+    bool told_of_end_ = false;  // a notice has gone out by which a client that has left shows
+    CancelKey key_;
     // A statement too large to be gathered in passing, as far as it has come.
     struct Large {
         std::string text;
--- a/src/net/net/connection.cpp
+++ b/src/net/net/connection.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -39,7 +40,7 @@
 }
 
 Connection::Connection(bufferevent* bev, std::size_t most_unread, ConnectionEvents& events, Ledger* ledger)
-    : bev_(bev), events_(events), ledger_(ledger) {
+    : bev_(bev), events_(events), ledger_(ledger), most_unread_(most_unread) {
     if (ledger_)
         for (auto* buffer : {bufferevent_get_input(bev), bufferevent_get_output(bev)})
             evbuffer_add_cb(
@@ -52,7 +53,7 @@
     bufferevent_setwatermark(bev, EV_READ, 0, most_unread);
     bufferevent_set_max_single_read(bev, kReadAtOnce);
     bufferevent_setcb(
-        bev, [](bufferevent*, void* self) { static_cast<Connection*>(self)->events_.received(); },
+        bev, [](bufferevent*, void* self) { static_cast<Connection*>(self)->read(); },
         [](bufferevent*, void* self) { static_cast<Connection*>(self)->events_.drained(); },
         [](bufferevent*, short what, void* arg) {
             auto& events_of = static_cast<Connection*>(arg)->events_;
@@ -64,9 +65,29 @@
 }
 
 Connection::~Connection() {
+    if (destroyed_) *destroyed_ = true;
     if (ledger_) ledger_->remove(held() + unwritten());
 }
 
+void Connection::read() {
+    bool destroyed = false;
+    destroyed_ = &destroyed;
+    events_.received();
+    if (destroyed) return;
+    destroyed_ = nullptr;
+    read_or_rest();
+}
+
+// What stands at its bound and is not taken would be told again and again within one turn of the loop,
+// without end (libevent triggers the callback anew while the high watermark is reached): no deadline was
+// swept any more. So reading is off for as long as the bound is reached, and not only by the watermark.
+void Connection::read_or_rest() {
+    const bool reads = !held_back_ && held() < most_unread_;
+    if (reads == reads_) return;
+    reads_ = reads;
+    reads ? bufferevent_enable(bev_.get(), EV_READ) : bufferevent_disable(bev_.get(), EV_READ);
+}
+
 std::unique_ptr<Connection> Connection::accepted(Loop& loop, evutil_socket_t fd, std::size_t most_unread,
                                                  ConnectionEvents& events, Ledger* ledger) {
     no_delay(fd);
@@ -100,8 +121,15 @@
             size};
 }
 
-void Connection::consume(std::size_t bytes) { evbuffer_drain(bufferevent_get_input(bev_.get()), bytes); }
-void Connection::bound_unread(std::size_t most) { bufferevent_setwatermark(bev_.get(), EV_READ, 0, most); }
+void Connection::consume(std::size_t bytes) {
+    evbuffer_drain(bufferevent_get_input(bev_.get()), bytes);
+    read_or_rest();
+}
+void Connection::bound_unread(std::size_t most) {
+    most_unread_ = most;
+    bufferevent_setwatermark(bev_.get(), EV_READ, 0, most);
+    read_or_rest();
+}
 void Connection::write(std::string_view bytes) {
     written_ += bytes.size();
     bufferevent_write(bev_.get(), bytes.data(), bytes.size());
@@ -117,9 +145,11 @@
     const auto start = to.size();
     to.resize(start + std::min(bytes, held()));
     evbuffer_remove(bufferevent_get_input(bev_.get()), to.data() + start, to.size() - start);
+    read_or_rest();
 }
 void Connection::hold(bool on) {
-    on ? bufferevent_disable(bev_.get(), EV_READ) : bufferevent_enable(bev_.get(), EV_READ);
+    held_back_ = on;
+    read_or_rest();
 }
 std::size_t Connection::held() const { return evbuffer_get_length(bufferevent_get_input(bev_.get())); }
 void Connection::end_writing() { shutdown(bufferevent_getfd(bev_.get()), SHUT_WR); }
@@ -144,6 +174,11 @@
     return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool Connection::peer_has_ended() const {
+    pollfd look{bufferevent_getfd(bev_.get()), POLLRDHUP, 0};
+    return poll(&look, 1, 0) > 0 && (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 Listener::Listener(Loop& loop, const sockaddr_in& at, std::function<void(evutil_socket_t)> accepted,
                    std::function<void()> failed)
     : accepted_(std::move(accepted)), failed_(std::move(failed)) {
@@ -189,6 +224,12 @@
 void Listener::pause() { evconnlistener_disable(listener_.get()); }
 void Listener::resume() { evconnlistener_enable(listener_.get()); }
 
+void Listener::take_all() {
+    const auto listening = evconnlistener_get_fd(listener_.get());
+    for (evutil_socket_t fd; (fd = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;)
+        accepted_(fd);
+}
+
 std::uint16_t Listener::port() const {
     sockaddr_in at{};
     socklen_t size = sizeof at;
--- a/src/net/net/connection.h
+++ b/src/net/net/connection.h
@@ -48,7 +48,7 @@
     std::string_view unread(
         std::size_t most = static_cast<std::size_t>(-1));  // good until the next call that takes or reads
     void consume(std::size_t bytes);
-    void bound_unread(std::size_t most);  // reading rests while more than that is held
+    void bound_unread(std::size_t most);  // reading rests while that much is held
     void write(std::string_view bytes);
     // Without a copy: the bytes stay their keeper's until the kernel has them.
     void write(std::string_view bytes, std::shared_ptr<const void> keeper);
@@ -65,6 +65,9 @@
     bool healthy() const;
     // Whether nothing waits in the kernel: no bytes unread, no end, no error.
     bool quiet() const;
+    // Whether the peer has ended its writing or all of the connection, be it behind bytes that are unread
+    // yet.
+    bool peer_has_ended() const;
 
 private:
     struct Free {
@@ -72,10 +75,16 @@
     };
     Connection(bufferevent* bev, std::size_t most_unread, ConnectionEvents& events, Ledger* ledger);
 
+    void read();
+    void read_or_rest();
+
     std::unique_ptr<bufferevent, Free> bev_;
     ConnectionEvents& events_;
     Ledger* ledger_;
     std::uint64_t written_ = 0;
+    std::size_t most_unread_;
+    bool held_back_ = false, reads_ = true;
+    bool* destroyed_ = nullptr;  // while a callback about input runs: whether that has destroyed this
 };
 
 class Listener {
@@ -90,6 +99,8 @@
              std::function<void()> failed);
     void pause();
     void resume();
+    // Takes what the kernel has accepted already: what it still holds when the listener goes is reset.
+    void take_all();
     std::uint16_t port() const;
 
 private:
--- a/src/net/net/quota.h
+++ b/src/net/net/quota.h
@@ -51,12 +51,14 @@
 // How the descriptors are dealt out. What the process itself holds (log, event loop, listener, discovery) and
 // some room to spare come first; clients and members share the rest.
 struct Shares {
-    int clients, overflow, members;
+    int clients, overflow, lingering, members;
+    constexpr int all() const { return clients + overflow + lingering + members; }
 };
 constexpr Shares share(int descriptors) {
-    constexpr int kOwn = 32, kOverflow = 24;
-    const int rest = descriptors > 2 * (kOwn + kOverflow) ? descriptors - kOwn - kOverflow : kOwn + kOverflow;
-    return {rest * 3 / 5, kOverflow, rest * 2 / 5};
+    constexpr int kOwn = 32;  // half of it is in use; a small share is a quarter of what there is
+    const int own = descriptors < 4 * kOwn ? descriptors / 4 : kOwn;
+    const int rest = descriptors - own - own / 2 - own / 2;
+    return {rest * 3 / 5, own / 2, own / 2, rest * 2 / 5};
 }
 
 // What clients' connections may hold in all: the program itself needs some 10 MB, members' answers and what
--- a/src/record/conversation/postgres.cpp
+++ b/src/record/conversation/postgres.cpp
@@ -105,6 +105,8 @@
     }
     if (bytes.size() < *size) return 0;
     const pgwire::Message m{bytes[0], bytes.substr(pgwire::kHead, *size - pgwire::kHead), *size};
+    // A greeting's key to cancel by is drawn anew for each connection: it tells nothing of what was said.
+    if (!greeted_ && m.type == 'K') return hash_rest(), *size;
     // What stands in one piece is hashed in one go, at its end.
     if (unhashed_.empty())
         unhashed_ = bytes.substr(0, *size);
--- a/src/wire/pgwire/build.cpp
+++ b/src/wire/pgwire/build.cpp
@@ -55,13 +55,13 @@
 Builder& Builder::negotiate_minor() {
     return message('v', [&] { int32(kProtocol30), int32(0); });
 }
-Builder& Builder::greeting() {
+Builder& Builder::greeting(std::uint32_t process, std::uint32_t secret) {
     return authentication_ok()
         .parameter("server_version", "15.0 (sloestack)")
         .parameter("server_encoding", "UTF8")
         .parameter("client_encoding", "UTF8")
         .parameter("standard_conforming_strings", "on")
-        .backend_key(0, 0)
+        .backend_key(process, secret)
         .ready();
 }
 Builder& Builder::ready() {
--- a/src/wire/pgwire/build.h
+++ b/src/wire/pgwire/build.h
@@ -19,6 +19,7 @@
 constexpr std::string_view kInvalidParameter = "22023";
 constexpr std::string_view kOutOfMemory = "53200";
 constexpr std::string_view kAdminShutdown = "57P01";
+constexpr std::string_view kQueryCanceled = "57014";
 constexpr std::string_view kSystemError = "58000";
 }  // namespace code
 
@@ -35,7 +36,8 @@
     Builder& parameter(std::string_view name, std::string_view value);
     Builder& backend_key(std::uint32_t process, std::uint32_t secret);
     Builder& negotiate_minor();  // only 3.0 is spoken
-    Builder& greeting();         // all that this program says to a client that begins a session
+    // All that this program says to a client that begins a session; the key is for its requests to cancel.
+    Builder& greeting(std::uint32_t process = 0, std::uint32_t secret = 0);
     Builder& ready();
     Builder& empty_query();
     Builder& row_description(std::string_view column, std::uint32_t type, bool binary);
--- a/src/wire/pgwire/frame.cpp
+++ b/src/wire/pgwire/frame.cpp
@@ -40,8 +40,11 @@
 StartupRequest read_startup(std::string_view body) {
     Fields in(body);
     const auto code = in.int32();
-    if (code == kSslRequest || code == kGssRequest) return {Startup::encryption, 0};
-    if (code == kCancelRequest) return {Startup::cancel, 0};
+    if (code == kSslRequest || code == kGssRequest) return {Startup::encryption};
+    if (code == kCancelRequest) {
+        const auto process = in.int32();
+        return {Startup::cancel, 0, process, in.int32()};
+    }
     if (code >> 16 != 3) throw BadMessage("protocol version " + std::to_string(code >> 16));
     return {Startup::session, static_cast<int>(code & 0xffff)};
 }
--- a/src/wire/pgwire/frame.h
+++ b/src/wire/pgwire/frame.h
@@ -45,7 +45,8 @@
 enum class Startup { session, encryption, cancel };
 struct StartupRequest {
     Startup kind = Startup::session;
-    int minor = 0;  // of protocol 3
+    int minor = 0;                          // of protocol 3
+    std::uint32_t process = 0, secret = 0;  // of a request to cancel: the key that the greeting gave out
 };
 StartupRequest read_startup(std::string_view body);  // throws BadMessage
 
--- a/tests/net/loopback.h
+++ b/tests/net/loopback.h
@@ -38,7 +38,11 @@
     Peer(Peer&& other) noexcept
         : fd(std::exchange(other.fd, -1)), in(std::move(other.in)), ended(other.ended) {}
     Peer(const Peer&) = delete;
-    Peer& operator=(const Peer&) = delete;
+    Peer& operator=(Peer&& other) noexcept {
+        close();
+        fd = std::exchange(other.fd, -1), in = std::move(other.in), ended = other.ended;
+        return *this;
+    }
     ~Peer() { close(); }
 
     void read() {
@@ -52,8 +56,10 @@
                 in.append(bytes, static_cast<std::size_t>(got));
         }
     }
-    void send(const std::string& bytes) {
-        if (fd >= 0) (void)::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    // Whether the kernel has taken all of it.
+    bool send(const std::string& bytes) {
+        return fd >= 0 && ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT) ==
+                              static_cast<ssize_t>(bytes.size());
     }
     void half_close() { shutdown(fd, SHUT_WR); }
     void close() {
