--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <memory>
 #include <random>
@@ -13,6 +14,8 @@
 
 using namespace nettletrestle;
 
+double num(Micros x) { return static_cast<double>(x); }
+
 constexpr int kBounded = 0, kSession = 1, kFresh = 2, kAny = 3, kWrite = 4;
 
 ClassSettings make_class(Need need, Effect effect = Effect::safe) {
@@ -475,6 +478,71 @@
     EXPECT_GT(sends[4], 0);
 }
 
+// What the operators allow: the sum of all routers in any window of the settings, and two roots of it and two
+// more for chance, also where all of them have only just started and know nothing of what a member carries.
+TEST(Cold, TheSumOfAnyFleetKeepsToTheBudgetOfAColdServer) {
+    for (const int routers : {3, 20, 30, 300})
+        for (const bool fresh : {false, true}) {
+            auto s = base();
+            s.routers = routers;
+            s.position_check = PositionCheck::refuse;
+            constexpr Micros kStep = 20'000;
+            constexpr double kRate = 240, kWarm = 4,
+                             kBusy = 0.9;  // requests a second; members; of their capacity
+            std::vector<std::unique_ptr<Bench>> fleet;
+            const auto start = [&](std::uint64_t round) {
+                for (int i = 0; i < routers; ++i) {
+                    auto& b = fleet[static_cast<std::size_t>(i)];
+                    const Time now = b ? b->now : 10'000'000;
+                    b = std::make_unique<Bench>(s, 4, round * 1000 + static_cast<std::uint64_t>(i) + 1);
+                    b->now = now;
+                    b->settle(1, 4);
+                }
+            };
+            fleet.resize(static_cast<std::size_t>(routers));
+            start(0);
+            std::mt19937_64 random(17);
+            std::poisson_distribution<int> arrivals(kRate * num(kStep) / 1e6 / routers);
+            std::vector<int> to_cold;  // a step, from its start on
+            RequestId id = 0;
+            constexpr int kBefore = 250, kAfter = 400;
+            for (int i = 0; i < kBefore + kAfter; ++i) {
+                if (i == kBefore && fresh) start(1);
+                int sent = 0;
+                for (auto& b : fleet) {
+                    if (i == kBefore) {
+                        auto e = Bench::entry(1);  // the primary: half of all requests can go nowhere else
+                        e.started_at = b->now;
+                        b->tell(ListKind::changes, {e});
+                    }
+                    std::vector<RequestId> asked;
+                    for (int n = arrivals(random); n > 0; --n)
+                        asked.push_back(++id), b->arrive(id, id % 2 == 0 ? kWrite : kAny);
+                    b->tick(kStep);
+                    for (const auto r : asked)
+                        if (const auto to = b->sent_to(r)) {
+                            sent += *to == 1;
+                            b->ok(r, *to, *to == 1 ? Role::primary : Role::replica, b->now);
+                        }
+                }
+                if (i >= kBefore) to_cold.push_back(sent);
+            }
+            const auto window = static_cast<std::size_t>(s.overload_window_us / kStep);
+            double sum = 0, most_over = -1e9;
+            for (std::size_t i = 0; i < to_cold.size(); ++i) {
+                sum += to_cold[i] - (i >= window ? to_cold[i - window] : 0);
+                const double middle = num(static_cast<Micros>(i - std::min(i, window) / 2) * kStep);
+                const double share =
+                    std::min(1.0, s.cold_share + (1 - s.cold_share) * middle / num(s.warm_after_us));
+                const double n =
+                    s.overload_multiple * share * kRate / kWarm / kBusy * num(s.overload_window_us) / 1e6;
+                most_over = std::max(most_over, sum - (n + 2 * std::sqrt(n) + 2));
+            }
+            EXPECT_LE(most_over, 0) << routers << " routers, " << (fresh ? "fresh" : "known");
+            EXPECT_GT(sum, 0) << "and it is used";
+        }
+}
+
 // Incident i80684d: members that died together get their share of what members carried when they come back.
 TEST(Cold, AGroupThatDiedTogetherIsUsedAgain) {
     Bench b(base());
