Keep a drain known at a discovery whose list is older; test stops, shares and other deployments

By reading: after SIGHUP any list of the new address counted, so one that was behind took a drain back that the old address had told (Watch::move reset the revision and nothing else). Now a list of a lower revision takes back no drain of a process that has not started anew; a change does. The test fails without it.

--- a/src/fleet/discovery/list.cpp
+++ b/src/fleet/discovery/list.cpp
@@ -85,6 +85,22 @@
     listed_.merge(named);
 }
 
+void Reader::keep_drains(List& list) {
+    const bool older = list.complete && list.revision < older_than_;
+    if (list.complete && !older) draining_.clear();
+    for (auto& e : list.members) {
+        const auto known = draining_.find(e.name);
+        if (older && known != draining_.end() && known->second == e.server.started_at)
+            e.server.state = ServerState::draining;
+        if (e.server.state == ServerState::draining)
+            draining_[e.name] = e.server.started_at;
+        else
+            draining_.erase(e.name);
+    }
+    newest_ = list.revision;
+    if (list.revision >= older_than_) older_than_ = -1;
+}
+
 List Reader::read(const nlohmann::json& json, std::optional<std::int64_t> held) {
     try {
         List out;
@@ -98,6 +114,7 @@
         if (out.complete && out.members.empty() && !listed_.empty())
             throw std::runtime_error("a whole list without a member");
         keep_numbers(json.at("members"), out.complete);
+        keep_drains(out);
         return out;
     } catch (const nlohmann::json::exception& error) {
         throw std::runtime_error(error.what());
--- a/src/fleet/discovery/list.h
+++ b/src/fleet/discovery/list.h
@@ -1,6 +1,7 @@
 // Discovery's list of members: reading its JSON into entries.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -50,16 +51,22 @@
     // Throws std::runtime_error saying what is wrong with the list, also where it is older than `held`.
     List read(const nlohmann::json& json, std::optional<std::int64_t> held = {});
     List read(const std::string& text, std::optional<std::int64_t> held = {});
+    // Discovery is at another address, whose revisions may begin lower. What has been read stays: a list that
+    // is older by its number may add members, but takes back no drain of a process that it names as the same.
+    void moved() { older_than_ = std::max(older_than_, newest_); }
     bool ever_listed(const std::string& name) const { return numbers_.knows(name); }
     std::size_t names() const { return numbers_.size(); }
 
 private:
     traffic::Entry entry(const nlohmann::json& json);
     void keep_numbers(const nlohmann::json& members, bool complete);
+    void keep_drains(List& list);
 
     std::vector<std::string> zones_;
     Numbers numbers_;
     std::set<std::string> listed_;
+    std::map<std::string, nettletrestle::Time> draining_;  // and when each such process had started
+    std::int64_t newest_ = -1, older_than_ = -1;
 };
 
 }  // namespace sloestack::discovery
--- a/src/fleet/discovery/watch.cpp
+++ b/src/fleet/discovery/watch.cpp
@@ -34,6 +34,7 @@
     at_ = at;
     host_ = std::move(host);
     revision_.reset();
+    lists_.moved();
     response_.reset();
     connection_.reset();
     patience_.clear();
--- /dev/null
+++ b/tests/net/stages_test.cpp
@@ -0,0 +1,173 @@
+// Stories of single moments: a stop at each stage, descriptors that clients fill, settings side by side.
+#include <csignal>
+
+#include "world.h"
+
+namespace {
+
+using namespace loopback;
+
+// Up to the moment in which it would be killed.
+void run_to_its_end(World& w) {
+    for (Micros passed = 0; passed < kKill && !w.over(); passed += 10'000) {
+        w.turns(3);
+        w.clock.at += 10'000;
+    }
+    EXPECT_TRUE(w.over());
+}
+
+TEST(Stop, BeforeTheFirstListEndsAtOnce) {
+    World w(deployment(), 256, false);
+    raise(SIGTERM);
+    run_to_its_end(w);
+}
+
+TEST(Stop, BeforeAnAgentsFirstWordEndsAtOnce) {
+    auto pushed = deployment();
+    pushed["discovery"] = "pushed";
+    World w(pushed);
+    raise(SIGTERM);
+    run_to_its_end(w);
+}
+
+TEST(Stop, TwiceAndWithASighupEndsOnce) {
+    World w;
+    w.open_watch();
+    w.connect();
+    w.ask("glance");
+    w.await([&] { return !w.queries.empty(); });
+    raise(SIGTERM);
+    raise(SIGTERM);
+    raise(SIGHUP);
+    w.turns();
+    raise(SIGTERM);
+    w.turns();
+    w.answer_all();
+    w.await([&] { return w.answers() == 1; });
+    run_to_its_end(w);
+    EXPECT_TRUE(w.client.ended);
+}
+
+// No member answers any more: what was taken is answered as failed before the kill, and late enough.
+TEST(Stop, WithMembersThatHangAnswersAllThatWasTaken) {
+    for (const auto& c : kClasses) {
+        World w;
+        w.open_watch();
+        w.connect();
+        w.ask(c.name);
+        w.await([&] { return !w.queries.empty(); });
+        raise(SIGTERM);
+        run_to_its_end(w);
+        EXPECT_EQ(w.answers(), 1) << c.name;
+        EXPECT_TRUE(w.client.ended);
+    }
+}
+
+// The client goes on sending on its connection for as long as that is open: each request is answered, or had
+// not been read when the proxy shut its side.
+TEST(Stop, AClientThatAsksOnLosesNothing) {
+    World w;
+    w.open_watch();
+    w.connect();
+    raise(SIGTERM);
+    for (Micros passed = 0; passed < kKill && !w.over(); passed += 10'000) {
+        if (!w.client.ended && w.answers() == w.asked) w.ask("amend");
+        w.turns(4);
+        w.answer_all();
+        w.turns(4);
+        w.clock.at += 10'000;
+    }
+    EXPECT_TRUE(w.over());
+    EXPECT_GT(w.answers(), 50);
+    for (const auto& q : w.queries) EXPECT_LE(std::stoi(q.id.substr(1)), w.answers()) << q.id;
+}
+
+// Both ends shut in one instant, with a request on its way: nothing read behind the shutdown is sent on.
+TEST(Close, AnIdleConnectionIsClosedOverARequestThatIsNotTaken) {
+    World w;
+    w.open_watch();
+    w.connect();
+    w.ask("amend");
+    w.await([&] { return !w.queries.empty(); });
+    w.answer_all();
+    w.await([&] { return w.answers() == 1; });
+    w.clock.at += 11'000'000;  // idle for too long
+    w.await([&] { return w.client.ended; });
+    const auto before = w.queries.size();
+    w.ask("amend");
+    w.turns();
+    w.go_on(1'500'000);
+    EXPECT_EQ(w.queries.size(), before);
+    EXPECT_EQ(w.answers(), 1);
+}
+
+// Whatever the number of descriptors, their shares and the process's own fit into them.
+TEST(Descriptors, SharesNeverExceedThem) {
+    for (int all = 64; all < 5000; ++all) {
+        const auto shares = net::share(all);
+        EXPECT_LE(shares.all() + 16, all);
+        EXPECT_GE(std::min({shares.clients, shares.members, shares.overflow, shares.lingering}), 8) << all;
+    }
+}
+
+// Idle clients take all that clients may have while discovery is down: it is called on, and members are
+// reached.
+TEST(Descriptors, IdleClientsLeaveRoomForDiscoveryAndMembers) {
+    World w(deployment(), 64);
+    w.open_watch();
+    std::vector<Peer> idle;
+    w.reset_watch();
+    for (int i = 0; i < 120; ++i) {
+        idle.push_back(connect_to(w.port()));
+        idle.back().send(text([](auto& b) { b.startup("u", "d"); }));
+        w.turn();
+    }
+    w.clock.at += 100'000;
+    w.turns(40);
+    w.open_watch();  // discovery answers again, and is asked
+    w.drain();       // of the first member
+    w.turns();
+    w.clock.at += 100'000;
+    w.turns(40);
+    w.connect();
+    w.ask("glance");
+    w.await([&] { return !w.queries.empty(); });
+    EXPECT_NE(w.queries.back().member, w.drained);
+    w.answer_all();
+    w.await([&] { return w.answers() == 1; });
+}
+
+// Two customers side by side: what only the other one has is an error here, and is never sent on.
+TEST(Settings, OfAnotherCustomerAreUnknownHere) {
+    const std::vector<Class> others = {
+        {"mend", "non_idempotent"}, {"glance", "idempotency_key"}, {"list", "read_like"}};
+    World ours, theirs(deployment(others));
+    for (auto* w : {&ours, &theirs}) {
+        w->open_watch();
+        w->connect();
+    }
+    ours.ask("mend");
+    theirs.ask("amend");
+    for (auto* w : {&ours, &theirs}) {
+        w->await([&] { return w->answers() == 1; });
+        EXPECT_NE(w->client.in.find("22023"), std::string::npos);
+        EXPECT_TRUE(w->queries.empty());
+    }
+    // A name that both have stands for another effect in each, and another place in the list.
+    for (auto* w : {&ours, &theirs}) {
+        w->ask("glance");
+        w->await([&] { return !w->queries.empty(); });
+        w->reset_members();
+        w->go_on(kWindow / 2);
+    }
+    EXPECT_EQ(ours.queries.size(), 2u) << "a read is tried again";
+    EXPECT_EQ(theirs.queries.size(), 2u) << "and so is what carries a key, within its window";
+    for (auto* w : {&ours, &theirs}) w->go_on(kDeadline);
+    theirs.ask("mend");
+    theirs.await([&] { return theirs.queries.size() == 3; });
+    theirs.reset_members();
+    theirs.go_on(kDeadline);
+    EXPECT_EQ(theirs.queries.size(), 3u) << "what must not be repeated is not";
+}
+
+}  // namespace
--- a/tests/net/watch_test.cpp
+++ b/tests/net/watch_test.cpp
@@ -250,6 +250,28 @@
     EXPECT_EQ(w.failures, 0);
 }
 
+// A drain that the old one told is no news to one whose list is older: it stays until that list has caught
+// up.
+TEST(Watch, ADrainIsKnownOnAtAnAddressWhoseListIsOlder) {
+    World w(3);
+    bring_to_a_held_call(w);
+    w.answer(whole(list(8, "terminating", false)));
+    ASSERT_TRUE(w.until([&] { return w.state == nettletrestle::ServerState::draining; }));
+    Listening other;
+    const auto tell = [&](const std::string& said, const char* next) {
+        other.peers.front().in.clear();
+        other.peers.front().send(whole(said));
+        return w.until([&] { return other.look(), other.peers.front().in.find(next) != std::string::npos; });
+    };
+    w.watch().move(loopback::address(other.port), "other");
+    ASSERT_TRUE(
+        w.until([&] { return other.look(), !other.peers.empty() && !other.peers.front().in.empty(); }));
+    ASSERT_TRUE(tell(list(2, "in_service"), "after=2&"));
+    EXPECT_EQ(w.state, nettletrestle::ServerState::draining);
+    ASSERT_TRUE(tell(list(3, "in_service", false), "after=3&"));
+    EXPECT_EQ(w.state, nettletrestle::ServerState::ready) << "a change is news";
+}
+
 // Twice in a row, with the first one's call still out: the last address counts.
 TEST(Watch, TheLastOfTwoMovesCounts) {
     World w(3);
