--- a/tests/net/stages_test.cpp
+++ b/tests/net/stages_test.cpp
@@ -101,6 +101,29 @@
     EXPECT_EQ(w.answers(), 1);
 }
 
+// A repeat was chosen within the window, and its connection comes up within it or behind it.
+TEST(Repeat, ThatWaitsForItsConnectionBeginsWithinItsWindowOrNotAtAll) {
+    for (const bool in_time : {true, false}) {
+        World w;
+        w.open_watch();
+        w.connect();
+        w.ask("amend");
+        w.await([&] { return !w.queries.empty(); });
+        w.clock.at += kWindow - 100'000;
+        w.turns();
+        w.members_greet = false;
+        w.reset_members();  // it may have run
+        w.turns();
+        w.clock.at += in_time ? 50'000 : 150'000;
+        w.members_greet = true;
+        w.turns();
+        EXPECT_EQ(w.queries.size(), in_time ? 2u : 1u);
+        w.go_on(kDeadline);
+        EXPECT_EQ(w.answers(), 1);
+        EXPECT_EQ(w.queries.size(), in_time ? 2u : 1u);
+    }
+}
+
 // Whatever the number of descriptors, their shares and the process's own fit into them.
 TEST(Descriptors, SharesNeverExceedThem) {
     for (int all = 64; all < 5000; ++all) {
