--- a/src/app/server/server.cpp
+++ b/src/app/server/server.cpp
@@ -95,7 +95,7 @@
       overflow_(net::share(config.sockets).overflow),
       lingering_(net::share(config.sockets).lingering),
       members_(net::share(config.sockets).members),
-      ledger_(net::bytes_for_clients(config.memory_mb)),
+      account_(net::bytes_for_clients(config.memory_mb)),
       room_(net::bytes_for_clients(config.memory_mb)),
       numbers_(config.settings.class_names),
       proxy_(deadlines_, module_settings(config.settings.router), config.seed, numbers_),
@@ -109,9 +109,9 @@
         bans_, patience(module_settings(config.settings.router), config.seed));
     proxy_.attach({pool_, [this] { watch_->start(); },
                    [this](auto kind, const auto& entries) { pool_.listed(kind, entries); }});
-    door_ = std::make_unique<clients::Door>(
-        loop_, deadlines_, clients::Door::Quotas{clients_, overflow_, lingering_}, ledger_, room_, numbers_,
-        clients::Entrance{config.listen, config.passed_socket}, proxy_, config.settings.class_names,
+    client_listener_ = std::make_unique<clients::ClientListener>(
+        loop_, deadlines_, clients::ClientListener::Quotas{clients_, overflow_, lingering_}, account_, room_,
+        numbers_, clients::Entrance{config.listen, config.passed_socket}, proxy_, config.settings.class_names,
         sessions_named(config.settings.router), longest_wait(config.settings.router), config.seed);
     if (config.control)
         control_ = std::make_unique<control::Door>(loop_, deadlines_, *config.control,
@@ -132,7 +132,7 @@
     bans_.listed(nettletrestle::ListKind::cached, std::move(known_.members));
     begun_ = true;
     proxy_.turn();
-    if (!waits_for_list_) door_->open();
+    if (!waits_for_list_) client_listener_->open();
 }
 
 void Server::shared_by(int processes) {
@@ -141,9 +141,9 @@
     overflow_.allow(shares.overflow);
     lingering_.allow(shares.lingering);
     members_.allow(shares.members);
-    ledger_.allow(net::bytes_for_clients(memory_mb_) / static_cast<std::size_t>(processes));
+    account_.allow(net::bytes_for_clients(memory_mb_) / static_cast<std::size_t>(processes));
     room_.allow(net::bytes_for_clients(memory_mb_) / static_cast<std::size_t>(processes));
-    door_->fit();
+    client_listener_->fit();
     pool_.fit();
 }
 
@@ -180,7 +180,7 @@
     // What the agent has counts as told from the first moment on, so clients come in behind its first word.
     if (waits_for_list_ && begun_ && watch_->has_called()) {
         waits_for_list_ = false;
-        door_->open();
+        client_listener_->open();
     }
     loop_.end_turn();
 }
@@ -214,11 +214,12 @@
     invariant::Counter::report();
     // Whatever could grow with ids, names or connections over a long day.
     if (kDebug)
-        log::line("tables", std::to_string(door_->sessions()) + " clients, " + std::to_string(pool_.links()) +
-                                " links, " + std::to_string(proxy_.open_requests()) + " requests, " +
+        log::line("tables", std::to_string(client_listener_->sessions()) + " clients, " +
+                                std::to_string(pool_.links()) + " links, " +
+                                std::to_string(proxy_.open_requests()) + " requests, " +
                                 std::to_string(lists_.names()) + " names, " +
                                 std::to_string(deadlines_.size()) + " deadlines, " +
-                                std::to_string(ledger_.held()) + " bytes");
+                                std::to_string(account_.held()) + " bytes");
     // Where there is no door, the log tells the figures; added up over all proxies they show where requests
     // go.
     if (numbers_.counted() != told_) {
--- a/src/app/server/server.h
+++ b/src/app/server/server.h
@@ -4,7 +4,7 @@
 #include <functional>
 
 #include "bans/bans.h"
-#include "clients/door.h"
+#include "clients/client_listener.h"
 #include "config/config.h"
 #include "control/control.h"
 #include "discovery/list.h"
@@ -28,11 +28,13 @@
     void turn(Micros at_most);
     // SIGTERM and SIGINT stop it; at SIGHUP it takes over what `load` says anew.
     void obey_signals(std::function<config::Config()> load);
-    void stop() { door_->stop(succession_ && succession_->has_successor()); }
-    bool over() const { return door_->over(); }
+    void stop() { client_listener_->stop(succession_ && succession_->has_successor()); }
+    bool over() const { return client_listener_->over(); }
     // Whether a list is held and clients are accepted.
-    bool ready() const override { return proxy_.able_to_serve() && door_ && door_->accepting(); }
-    std::uint16_t port() const { return door_->port(); }
+    bool ready() const override {
+        return proxy_.able_to_serve() && client_listener_ && client_listener_->accepting();
+    }
+    std::uint16_t port() const { return client_listener_->port(); }
     std::uint16_t control_port() const { return control_->port(); }  // where there is such a door
 
 private:
@@ -59,8 +61,8 @@
     int sockets_;
     std::int64_t memory_mb_;
     net::Quota clients_, overflow_, lingering_, members_;
-    net::Ledger ledger_;  // of what clients have sent and not had answered, or been sent and not taken
-    net::Room room_;      // for large statements
+    net::ByteAccount account_;  // of what clients have sent and not had answered, or been sent and not taken
+    net::Room room_;            // for large statements
     numbers::Numbers numbers_;
     proxy::Proxy proxy_;
     bans::Bans bans_{proxy_};
@@ -71,7 +73,7 @@
     std::string discovery_;  // as the file named it last
     bool begun_ = false;
     bool waits_for_list_;  // clients are let in once discovery has been heard, or has failed to answer
-    std::unique_ptr<clients::Door> door_;
+    std::unique_ptr<clients::ClientListener> client_listener_;
     std::unique_ptr<control::Door> control_;
     std::unique_ptr<succession::Succession> succession_;
     Deadline report_;
--- a/src/core/proxy/proxy.cpp
+++ b/src/core/proxy/proxy.cpp
@@ -41,10 +41,10 @@
 }
 
 // ---- events ----
-traffic::RequestId Proxy::take(traffic::Request request, traffic::Asker& asker) {
+traffic::RequestId Proxy::take(traffic::Request request, traffic::ResponseSink& sink) {
     const auto id = request.arrival.request = ++last_;
     auto& open = open_[id];
-    open.asker = &asker;
+    open.sink = &sink;
     open.statement = std::move(request.statement);
     open.klass = request.arrival.klass;
     open.not_after = request.arrival.not_after;
@@ -66,8 +66,8 @@
 
 bool Proxy::still_wanted(traffic::RequestId request) {
     const auto found = open_.find(request);
-    if (found == open_.end() || !found->second.asker) return false;
-    if (!found->second.asker->has_left()) return deadlines_.now() < found->second.not_after;
+    if (found == open_.end() || !found->second.sink) return false;
+    if (!found->second.sink->has_left()) return deadlines_.now() < found->second.not_after;
     withdraw(request);
     return false;
 }
@@ -75,17 +75,17 @@
 bool Proxy::answer_started(const module::AnswerStarted& start, const traffic::Value& head, std::size_t size,
                            traffic::Source& source) {
     const auto found = open_.find(start.request);
-    if (found == open_.end() || !found->second.asker || found->second.started >= 0) return false;
+    if (found == open_.end() || !found->second.sink || found->second.started >= 0) return false;
     found->second.started = start.attempt;
     found->second.overdue.clear();  // once begun it has no deadline
     events_.emplace_back(start);
-    found->second.asker->begun(head, size, source);
+    found->second.sink->begun(head, size, source);
     return true;
 }
 
 void Proxy::piece(traffic::RequestId request, std::string_view bytes) {
     const auto found = open_.find(request);
-    if (found != open_.end() && found->second.asker) found->second.asker->piece(bytes);
+    if (found != open_.end() && found->second.sink) found->second.sink->piece(bytes);
 }
 
 void Proxy::attempt_ended(const module::AttemptEnded& end, std::optional<traffic::Value> value) {
@@ -96,15 +96,15 @@
     if (found != open_.end()) numbers_.ended(found->second.klass, end.outcome);
     // The first answer goes to the client as it is and ends the request, without asking the module.
     if (started >= 0 ? started == end.attempt : value.has_value())
-        if (auto* asker = close(end.request)) {
+        if (auto* sink = close(end.request)) {
             if (started < 0)
-                asker->served(*value);
+                sink->served(*value);
             else if (value)
-                asker->finished(value->tag);
+                sink->finished(value->tag);
             else
-                asker->cut_off();
+                sink->cut_off();
         }
-    event.request_ended = found == open_.end() || !found->second.asker;
+    event.request_ended = found == open_.end() || !found->second.sink;
     events_.emplace_back(event);
 }
 
@@ -131,14 +131,14 @@
 }
 
 // ---- actions ----
-traffic::Asker* Proxy::close(traffic::RequestId request) {
+traffic::ResponseSink* Proxy::close(traffic::RequestId request) {
     const auto found = open_.find(request);
     if (found == open_.end()) return nullptr;
-    auto* asker = std::exchange(found->second.asker, nullptr);
-    if (!asker) return nullptr;
+    auto* sink = std::exchange(found->second.sink, nullptr);
+    if (!sink) return nullptr;
     found->second.overdue.clear();
     closed_.push_back(request);
-    return asker;
+    return sink;
 }
 
 void Proxy::act(const module::Send& a) {
@@ -146,7 +146,7 @@
     if (!SLOESTACK_INVARIANT(found != open_.end(), "the module sends only what is open")) return;
     auto& open = found->second;
     const Time now = deadlines_.now();
-    if (!open.asker) {
+    if (!open.sink) {
         // Answered or left by its client in the round that had the module send it again. Guards against an
         // attempt whose end the module waits for without end, taking its member to be silent.
         module::AttemptEnded e;
@@ -169,18 +169,18 @@
     hands_->members.send(attempt);
 }
 
-traffic::Asker* Proxy::give_up(traffic::RequestId request, module::Cause cause) {
-    auto* asker = close(request);
-    if (asker) numbers_.given_up(open_.at(request).klass, cause);
-    return asker;
+traffic::ResponseSink* Proxy::give_up(traffic::RequestId request, module::Cause cause) {
+    auto* sink = close(request);
+    if (sink) numbers_.given_up(open_.at(request).klass, cause);
+    return sink;
 }
 
 void Proxy::act(const module::Refuse& a) {
-    if (auto* asker = give_up(a.request, a.cause)) asker->refused(a.retry_after_us);
+    if (auto* sink = give_up(a.request, a.cause)) sink->refused(a.retry_after_us);
 }
 
 void Proxy::act(const module::Fail& a) {
-    if (auto* asker = give_up(a.request, a.cause)) asker->failed();
+    if (auto* sink = give_up(a.request, a.cause)) sink->failed();
 }
 
 void Proxy::act(const module::Cancel& a) { hands_->members.cancel(a.request, a.attempt); }
@@ -198,7 +198,7 @@
 void Proxy::overdue(traffic::RequestId request) {
     SLOESTACK_INVARIANT(false, "the module answers every request in time");
     events_.emplace_back(module::ClientGone{request});
-    if (auto* asker = close(request)) asker->failed();
+    if (auto* sink = close(request)) sink->failed();
 }
 
 }  // namespace sloestack::proxy
--- a/src/core/proxy/proxy.h
+++ b/src/core/proxy/proxy.h
@@ -22,7 +22,7 @@
     std::function<void(nettletrestle::ListKind, const std::vector<traffic::Entry>&)> list_changed;
 };
 
-class Proxy final : public traffic::Desk, public traffic::Results, public traffic::ListReader {
+class Proxy final : public traffic::RequestDispatcher, public traffic::Results, public traffic::ListReader {
 public:
     Proxy(Deadlines& deadlines, const nettletrestle::Settings& settings, std::uint64_t seed,
           numbers::Numbers& numbers);
@@ -33,8 +33,8 @@
     std::size_t open_requests() const { return open_.size() - closed_.size(); }
     std::size_t members_avoided() const { return router_.avoided(); }  // by the module's choice
 
-    // Desk
-    traffic::RequestId take(traffic::Request request, traffic::Asker& asker) override;
+    // RequestDispatcher
+    traffic::RequestId take(traffic::Request request, traffic::ResponseSink& sink) override;
     void withdraw(traffic::RequestId request) override;
     bool able_to_serve() const override { return !ready_.empty(); }
     bool knows_group(int group) const override { return groups_.count(group) > 0; }
@@ -50,7 +50,7 @@
 
 private:
     struct Open {
-        traffic::Asker* asker = nullptr;  // none once it is answered or its client has gone
+        traffic::ResponseSink* sink = nullptr;  // none once it is answered or its client has gone
         std::shared_ptr<const traffic::Statement> statement = {};
         int klass = 0;
         Time not_after = 0;
@@ -68,10 +68,10 @@
     void act(const nettletrestle::Probe& a);
     void act(const nettletrestle::WatchList& a);
     void act(const nettletrestle::Log& a);
-    // Takes the request's asker, who is answered next; nothing where that has happened.
-    traffic::Asker* close(traffic::RequestId request);
+    // Takes the request's sink, which is answered next; nothing where that has happened.
+    traffic::ResponseSink* close(traffic::RequestId request);
     // The same, for a request that the module gives up.
-    traffic::Asker* give_up(traffic::RequestId request, nettletrestle::Cause cause);
+    traffic::ResponseSink* give_up(traffic::RequestId request, nettletrestle::Cause cause);
     void overdue(traffic::RequestId request);
 
     Deadlines& deadlines_;
--- a/src/core/traffic/traffic.h
+++ b/src/core/traffic/traffic.h
@@ -65,7 +65,7 @@
 };
 
 // ---- the client side ----
-class Asker {  // one that waits for the answer to one request
+class ResponseSink {  // one that waits for the answer to one request
 public:
     virtual void served(const Value& value) = 0;
     // The value follows in pieces, `size` bytes in all; `head` has all of it but its bytes and tag. The
@@ -80,18 +80,18 @@
     virtual bool has_left() = 0;
 
 protected:
-    ~Asker() = default;
+    ~ResponseSink() = default;
 };
-class Desk {  // where client sides hand requests in; kept by the proxy
+class RequestDispatcher {  // where client sides hand requests in; kept by the proxy
 public:
-    // Nothing is answered before the turn is over. The asker must live until it is answered or withdraws.
-    virtual RequestId take(Request request, Asker& asker) = 0;
+    // Nothing is answered before the turn is over. The sink must live until it is answered or withdraws.
+    virtual RequestId take(Request request, ResponseSink& sink) = 0;
     virtual void withdraw(RequestId request) = 0;  // the client has gone
     virtual bool able_to_serve() const = 0;
     virtual bool knows_group(int group) const = 0;
 
 protected:
-    ~Desk() = default;
+    ~RequestDispatcher() = default;
 };
 
 // ---- the member side ----
--- a/src/fleet/upstream/pool.cpp
+++ b/src/fleet/upstream/pool.cpp
@@ -173,7 +173,7 @@
     for (auto& [id, m] : members_)
         if (!m->idle.empty() && (!most || m->idle.size() > most->idle.size())) most = m.get();
     if (!most) return false;
-    // The front has stood longest. Destroyed now, not buried: its descriptor is wanted at once.
+    // The front has stood longest. Destroyed now, not later: its descriptor is wanted at once.
     auto& link = *most->idle.front();
     const auto place = by_link_.at(&link);
     most->idle.erase(most->idle.begin());
@@ -267,7 +267,7 @@
     member.links.erase(found->second.at);
     by_link_.erase(found);
     owned->close();
-    loop_.bury(std::move(owned));
+    loop_.delete_later(std::move(owned));
 }
 
 void Pool::rest(Member& member, Link& link) {
--- a/src/front/clients/door.cpp
+++ b/src/front/clients/client_listener.cpp
@@ -1,4 +1,4 @@
-#include "clients/door.h"
+#include "clients/client_listener.h"
 
 #include <algorithm>
 
@@ -25,9 +25,11 @@
 
 }  // namespace
 
-Door::Door(net::Loop& loop, Deadlines& deadlines, const Quotas& quotas, net::Ledger& ledger, net::Room& room,
-           numbers::Numbers& numbers, const Entrance& at, traffic::Desk& desk,
-           std::vector<std::string> class_names, bool sessions_named, Micros longest_wait, std::uint64_t seed)
+ClientListener::ClientListener(net::Loop& loop, Deadlines& deadlines, const Quotas& quotas,
+                               net::ByteAccount& account, net::Room& room, numbers::Numbers& numbers,
+                               const Entrance& at, traffic::RequestDispatcher& dispatcher,
+                               std::vector<std::string> class_names, bool sessions_named, Micros longest_wait,
+                               std::uint64_t seed)
     : loop_(loop),
       deadlines_(deadlines),
       quota_(quotas.clients),
@@ -36,8 +38,8 @@
       at_(at),
       office_{loop,
               deadlines,
-              desk,
-              ledger,
+              dispatcher,
+              account,
               room,
               quotas.clients,
               lingering_,
@@ -47,11 +49,11 @@
               CancelKeys(seed)},
       longest_wait_(std::min(longest_wait, kLongestWait)) {}
 
-Door::~Door() = default;
+ClientListener::~ClientListener() = default;
 
 // Clients bound how many connections they hold. Guards them against having all of theirs taken up by clients
 // that ask once and keep their connection: the longest at rest are closed until few enough are left.
-void Door::tidy() {
+void ClientListener::tidy() {
     const Time now = deadlines_.now();
     auto resting = std::count_if(sessions_.begin(), sessions_.end(),
                                  [](const auto& s) { return s->has_asked() && s->rests(); });
@@ -64,7 +66,7 @@
     tidy_.set(deadlines_, now + kTidyEvery, [this] { tidy(); });
 }
 
-void Door::open() {
+void ClientListener::open() {
     if (stopping_since_) return;
     tidy();
     const auto take = [this](evutil_socket_t fd) { accepted(fd); };
@@ -74,7 +76,7 @@
                     : std::make_unique<net::Listener>(loop_, at_.address, take, none_left);
 }
 
-void Door::accepted(evutil_socket_t fd) {
+void ClientListener::accepted(evutil_socket_t fd) {
     accepted_at_ = deadlines_.now();
     auto slot = quota_.take();
     if (!slot && make_room()) slot = quota_.take();
@@ -89,7 +91,7 @@
 }
 
 // Neither a descriptor nor a share of them is left: those who come wait in the kernel's queue for a moment.
-void Door::out_of_descriptors() {
+void ClientListener::out_of_descriptors() {
     const Time now = deadlines_.now();
     if (now - complained_at_ > kComplainEvery) {
         complained_at_ = now;
@@ -105,7 +107,7 @@
 
 // Who only stands at the door goes first, then whoever has idled longest: guards the clients' share against
 // those that come by the hundreds and say nothing.
-bool Door::make_room() {
+bool ClientListener::make_room() {
     // Its descriptor is wanted now: the longest to linger gives its own, and is closed as it would be in a
     // moment.
     if (lingering_.full()) {
@@ -123,7 +125,7 @@
     return false;
 }
 
-void Door::fit() {
+void ClientListener::fit() {
     int many = quota_.taken() - quota_.most();
     for (auto it = sessions_.begin(); many > 0 && it != sessions_.end();) {
         auto& s = **it++;  // closing takes it off the list
@@ -133,7 +135,7 @@
     }
 }
 
-void Door::stop(bool succeeded) {
+void ClientListener::stop(bool succeeded) {
     if (stopping_since_) return;
     succeeded_ = succeeded;
     stopping_since_ = deadlines_.now();
@@ -145,7 +147,7 @@
 // Clients may go on with the connections they have, and where the other proxies are being started anew there
 // is nowhere else for them to go: so those in use are closed late, those that rest early, each between
 // requests.
-void Door::wind_down() {
+void ClientListener::wind_down() {
     const Time now = deadlines_.now(), stopped_for = now - stopping_since_;
     if (listener_ && (succeeded_ || (stopped_for >= kStillComing && now >= accepted_at_ + kLastArrival)))
         stop_listening();
@@ -164,7 +166,7 @@
     stop_.set(deadlines_, now + kLook, [this] { wind_down(); });
 }
 
-void Door::stop_listening() {
+void ClientListener::stop_listening() {
     resume_.clear();
     if (!listener_) return;
     // Those that the kernel has taken already are served or told; once nothing listens they would be reset.
@@ -172,12 +174,14 @@
     listener_.reset();
 }
 
-void Door::used(Session& session) { sessions_.splice(sessions_.end(), sessions_, places_.at(&session)); }
+void ClientListener::used(Session& session) {
+    sessions_.splice(sessions_.end(), sessions_, places_.at(&session));
+}
 
-void Door::over(Session& session) {
+void ClientListener::over(Session& session) {
     const auto place = places_.find(&session);
     if (place == places_.end()) return;
-    loop_.bury(std::move(*place->second));
+    loop_.delete_later(std::move(*place->second));
     sessions_.erase(place->second);
     places_.erase(place);
 }
--- a/src/front/clients/door.h
+++ b/src/front/clients/client_listener.h
@@ -17,7 +17,7 @@
     std::optional<int> passed_socket = {};
 };
 
-class Door final : private SessionOwner {
+class ClientListener final : private SessionOwner {
 public:
     // The shares of descriptors that clients' connections have, by what state these are in.
     struct Quotas {
@@ -26,17 +26,18 @@
         net::Quota& lingering;  // of those that have ended on this side
     };
     // `seed` is for the keys that clients cancel by.
-    Door(net::Loop& loop, Deadlines& deadlines, const Quotas& quotas, net::Ledger& ledger, net::Room& room,
-         numbers::Numbers& numbers, const Entrance& at, traffic::Desk& desk,
-         std::vector<std::string> class_names, bool sessions_named, Micros longest_wait, std::uint64_t seed);
-    ~Door();
+    ClientListener(net::Loop& loop, Deadlines& deadlines, const Quotas& quotas, net::ByteAccount& account,
+                   net::Room& room, numbers::Numbers& numbers, const Entrance& at,
+                   traffic::RequestDispatcher& dispatcher, std::vector<std::string> class_names,
+                   bool sessions_named, Micros longest_wait, std::uint64_t seed);
+    ~ClientListener();
 
     // Begins to accept. Throws std::runtime_error where the address cannot be listened on.
     void open();
     bool accepting() const { return listener_ && !stopping_since_; }
     // Closes down in order: clients are still served for a while, each connection is closed between its
     // requests, and over() holds once the last answer has left. `longest_wait`, of any client for an answer,
-    // bounds all of it. Where a successor accepts clients this door closes at once.
+    // bounds all of it. Where a successor accepts clients this listener closes at once.
     void stop(bool succeeded);
     // Closes idle clients for as long as the share is exceeded; those that are busy end after their answers.
     void fit();
--- a/src/front/clients/session.cpp
+++ b/src/front/clients/session.cpp
@@ -79,7 +79,7 @@
       slot_(std::move(slot)),
       turned_away_(turned_away),
       came_at_(office.deadlines.now()) {
-    connection_ = net::Connection::accepted(office_.loop, fd, kStartupUnread, *this, &office_.ledger);
+    connection_ = net::Connection::accepted(office_.loop, fd, kStartupUnread, *this, &office_.account);
     if (!connection_) return;
     key_ = office_.keys.add(*this);
     renew_limit();
@@ -89,7 +89,7 @@
     office_.room.leave(this);
     office_.keys.remove(key_);
     give_back_id();
-    if (request_) office_.desk.withdraw(request_);
+    if (request_) office_.dispatcher.withdraw(request_);
 }
 
 bool Session::is_silent() const {
@@ -113,7 +113,7 @@
     read_all();
     if (input_is_held() && !look_.is_set()) look_whether_left(kNextLook);
     // Each session keeps within its own bound; this guards the memory against all of them at once.
-    if (state_ == State::open && !request_ && office_.ledger.over() && connection_->held() > kFairShare)
+    if (state_ == State::open && !request_ && office_.account.over() && connection_->held() > kFairShare)
         end_with(pgwire::code::kOutOfMemory, "too much is waiting to be read");
 }
 
@@ -294,7 +294,7 @@
     std::string out;
     if (pgwire::is_blank(statement)) {
         // The front takes this for readiness.
-        if (!office_.desk.able_to_serve())
+        if (!office_.dispatcher.able_to_serve())
             return say_error(pgwire::code::kCannotConnectNow, "no member is known yet");
         Builder(out).empty_query().ready();
         return reply(out);
@@ -316,7 +316,7 @@
         if (klass == names.end())
             return say_error(pgwire::code::kInvalidParameter, "unknown class " + std::string(tags.klass));
         klass_ = static_cast<int>(klass - names.begin());
-        if (!office_.desk.knows_group(tags.cluster)) {
+        if (!office_.dispatcher.knows_group(tags.cluster)) {
             office_.numbers.answered(klass_, numbers::Numbers::shed);
             Builder(out)
                 .error("ERROR", pgwire::code::kCannotConnectNow, "no member of this cluster is known",
@@ -345,7 +345,7 @@
     }
     request.statement = std::move(kept);
     connection_->bound_unread(kBehindRequest);
-    request_ = office_.desk.take(std::move(request), *this);
+    request_ = office_.dispatcher.take(std::move(request), *this);
 }
 
 // The class it names, as far as that can be read; for the figures.
@@ -404,7 +404,7 @@
 // on as well: it cannot be taken back.
 void Session::cancel() {
     if (!request_ || source_ || state_ != State::open) return;
-    office_.desk.withdraw(std::exchange(request_, 0));
+    office_.dispatcher.withdraw(std::exchange(request_, 0));
     office_.numbers.answered(klass_, numbers::Numbers::errors);
     std::string out;
     Builder(out).error("ERROR", pgwire::code::kQueryCanceled, "canceled at the client's request").ready();
@@ -450,7 +450,7 @@
 
 void Session::abandon() {
     if (request_) {
-        office_.desk.withdraw(std::exchange(request_, 0));
+        office_.dispatcher.withdraw(std::exchange(request_, 0));
         give_back_id();
         office_.numbers.answered(klass_, numbers::Numbers::errors);
         // Of a begun answer the client can tell by the end alone that it is not whole.
@@ -470,7 +470,7 @@
     look_.clear();
     go_on_.clear();
     give_back_id();
-    if (request_) office_.desk.withdraw(std::exchange(request_, 0));
+    if (request_) office_.dispatcher.withdraw(std::exchange(request_, 0));
     connection_.reset();
     slot_ = net::Slot();
     owner_.over(*this);
@@ -529,7 +529,7 @@
 // The client's kernel and a window are ahead of what it reads; beyond that the member's side waits.
 void Session::piece(std::string_view bytes) {
     connection_->write(bytes);
-    if (connection_->unwritten() > (office_.ledger.over() ? 0 : kWindow)) source_->hold(true);
+    if (connection_->unwritten() > (office_.account.over() ? 0 : kWindow)) source_->hold(true);
     renew_limit();
 }
 
--- a/src/front/clients/session.h
+++ b/src/front/clients/session.h
@@ -45,8 +45,8 @@
 struct Office {
     net::Loop& loop;
     Deadlines& deadlines;
-    traffic::Desk& desk;
-    net::Ledger& ledger;
+    traffic::RequestDispatcher& dispatcher;
+    net::ByteAccount& account;
     net::Room& room;  // for statements too large to be gathered in passing
     const net::Quota& quota;
     net::Quota& lingering;  // of connections that have ended on this side
@@ -68,7 +68,7 @@
     ~SessionOwner() = default;
 };
 
-class Session final : public net::ConnectionEvents, private traffic::Asker {
+class Session final : public net::ConnectionEvents, private traffic::ResponseSink {
 public:
     Session(Office& office, SessionOwner& owner, evutil_socket_t fd, net::Slot slot, bool turned_away);
     ~Session();
--- a/src/front/control/control.cpp
+++ b/src/front/control/control.cpp
@@ -112,7 +112,7 @@
 void Door::over(std::uint64_t number) {
     const auto found = calls_.find(number);
     if (found == calls_.end()) return;
-    loop_.bury(std::move(found->second));
+    loop_.delete_later(std::move(found->second));
     calls_.erase(found);
 }
 
--- a/src/net/net/ledger.h
+++ b/src/net/net/byte_account.h
@@ -1,5 +1,5 @@
 // Counts the bytes that connections hold for their peers: received and not consumed, written and not taken.
-// Each connection has a bound of its own; the ledger tells when all of them together hold too much.
+// Each connection has a bound of its own; the account tells when all of them together hold too much.
 #pragma once
 
 #include <algorithm>
@@ -9,11 +9,11 @@
 
 namespace sloestack::net {
 
-class Ledger {
+class ByteAccount {
 public:
-    explicit Ledger(std::size_t most) : most_(most) {}
-    Ledger(const Ledger&) = delete;
-    Ledger& operator=(const Ledger&) = delete;
+    explicit ByteAccount(std::size_t most) : most_(most) {}
+    ByteAccount(const ByteAccount&) = delete;
+    ByteAccount& operator=(const ByteAccount&) = delete;
 
     void add(std::size_t bytes) { held_ += bytes; }
     void remove(std::size_t bytes) { held_ -= bytes; }
--- a/src/net/net/connection.cpp
+++ b/src/net/net/connection.cpp
@@ -39,17 +39,18 @@
     return out;
 }
 
-Connection::Connection(bufferevent* bev, std::size_t most_unread, ConnectionEvents& events, Ledger* ledger)
-    : bev_(bev), events_(events), ledger_(ledger), most_unread_(most_unread) {
-    if (ledger_)
+Connection::Connection(bufferevent* bev, std::size_t most_unread, ConnectionEvents& events,
+                       ByteAccount* account)
+    : bev_(bev), events_(events), account_(account), most_unread_(most_unread) {
+    if (account_)
         for (auto* buffer : {bufferevent_get_input(bev), bufferevent_get_output(bev)})
             evbuffer_add_cb(
                 buffer,
                 [](evbuffer*, const evbuffer_cb_info* change, void* book) {
-                    static_cast<Ledger*>(book)->add(change->n_added);
-                    static_cast<Ledger*>(book)->remove(change->n_deleted);
+                    static_cast<ByteAccount*>(book)->add(change->n_added);
+                    static_cast<ByteAccount*>(book)->remove(change->n_deleted);
                 },
-                ledger_);
+                account_);
     bufferevent_setwatermark(bev, EV_READ, 0, most_unread);
     bufferevent_set_max_single_read(bev, kReadAtOnce);
     bufferevent_setcb(
@@ -66,7 +67,7 @@
 
 Connection::~Connection() {
     if (destroyed_) *destroyed_ = true;
-    if (ledger_) ledger_->remove(held() + unwritten());
+    if (account_) account_->remove(held() + unwritten());
 }
 
 void Connection::read() {
@@ -89,14 +90,14 @@
 }
 
 std::unique_ptr<Connection> Connection::accepted(Loop& loop, evutil_socket_t fd, std::size_t most_unread,
-                                                 ConnectionEvents& events, Ledger* ledger) {
+                                                 ConnectionEvents& events, ByteAccount* account) {
     no_delay(fd);
     auto* bev = bufferevent_socket_new(loop.base(), fd, BEV_OPT_CLOSE_ON_FREE);
     if (!bev) {
         evutil_closesocket(fd);
         return nullptr;
     }
-    return std::unique_ptr<Connection>(new Connection(bev, most_unread, events, ledger));
+    return std::unique_ptr<Connection>(new Connection(bev, most_unread, events, account));
 }
 
 std::unique_ptr<Connection> Connection::open(Loop& loop, const sockaddr_in& to, std::size_t most_unread,
--- a/src/net/net/connection.h
+++ b/src/net/net/connection.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <string_view>
 
-#include "net/ledger.h"
+#include "net/byte_account.h"
 #include "net/loop.h"
 
 namespace sloestack::net {
@@ -38,7 +38,7 @@
 class Connection {
 public:
     static std::unique_ptr<Connection> accepted(Loop& loop, evutil_socket_t fd, std::size_t most_unread,
-                                                ConnectionEvents& events, Ledger* ledger = nullptr);
+                                                ConnectionEvents& events, ByteAccount* account = nullptr);
     // Nothing where no socket was to be had.
     static std::unique_ptr<Connection> open(Loop& loop, const sockaddr_in& to, std::size_t most_unread,
                                             ConnectionEvents& events);
@@ -73,14 +73,14 @@
     struct Free {
         void operator()(bufferevent* b) const { bufferevent_free(b); }
     };
-    Connection(bufferevent* bev, std::size_t most_unread, ConnectionEvents& events, Ledger* ledger);
+    Connection(bufferevent* bev, std::size_t most_unread, ConnectionEvents& events, ByteAccount* account);
 
     void read();
     void read_or_rest();
 
     std::unique_ptr<bufferevent, Free> bev_;
     ConnectionEvents& events_;
-    Ledger* ledger_;
+    ByteAccount* account_;
     std::uint64_t written_ = 0;
     std::size_t most_unread_;
     bool held_back_ = false, reads_ = true;
--- a/src/net/net/loop.cpp
+++ b/src/net/net/loop.cpp
@@ -18,7 +18,7 @@
 }
 
 Loop::~Loop() {
-    buried_.clear();
+    deferred_.clear();
     for (auto& s : signals_) event_free(s->handle);
     if (timer_) event_free(timer_);
 }
--- a/src/net/net/loop.h
+++ b/src/net/net/loop.h
@@ -26,10 +26,10 @@
 
     // Keeps an object that may still be on the call stack until the turn is over.
     template <class T>
-    void bury(std::unique_ptr<T> object) {
-        buried_.emplace_back(std::move(object));
+    void delete_later(std::unique_ptr<T> object) {
+        deferred_.emplace_back(std::move(object));
     }
-    void end_turn() { buried_.clear(); }
+    void end_turn() { deferred_.clear(); }
 
 private:
     struct Signal {
@@ -42,7 +42,7 @@
     std::unique_ptr<event_base, FreeBase> base_;
     event* timer_ = nullptr;
     std::vector<std::unique_ptr<Signal>> signals_;
-    std::vector<std::shared_ptr<void>> buried_;
+    std::vector<std::shared_ptr<void>> deferred_;
 };
 
 }  // namespace sloestack::net
--- a/src/record/replay/replay.cpp
+++ b/src/record/replay/replay.cpp
@@ -422,7 +422,7 @@
     gone->end(writer::Side::client, false);
     gone->limit_.clear();
     gone->retry_.clear();
-    loop_.bury(std::move(gone));
+    loop_.delete_later(std::move(gone));
 }
 
 }  // namespace sloestack::replay
--- a/src/state/succession/succession.cpp
+++ b/src/state/succession/succession.cpp
@@ -177,7 +177,7 @@
     const auto found =
         std::find_if(ties_.begin(), ties_.end(), [&](const auto& t) { return t.get() == &tie; });
     if (found == ties_.end()) return;
-    loop_.bury(std::move(*found));  // it may be on the call stack
+    loop_.delete_later(std::move(*found));  // it may be on the call stack
     ties_.erase(found);
     tie.close();
     log::line(tie.to_successor() ? "successor" : "predecessor", "has gone");
--- a/standin/fleet.cpp
+++ b/standin/fleet.cpp
@@ -144,7 +144,7 @@
         if (self == at_.peers.end()) return;
         auto kept = std::move(*self);
         at_.peers.erase(self);
-        of_.loop_.bury(std::move(kept));
+        of_.loop_.delete_later(std::move(kept));
     }
 
 private:
@@ -319,7 +319,7 @@
     m.ports.clear();
     for (auto& p : m.peers) {
         p->close();
-        loop_.bury(std::move(p));
+        loop_.delete_later(std::move(p));
     }
     m.peers.clear();
     m.running.clear();
--- a/tests/parser_tests.cpp
+++ b/tests/parser_tests.cpp
@@ -10,7 +10,7 @@
 #include "http/response.h"
 #include "invariant/invariant.h"
 #include "members/reply.h"
-#include "net/ledger.h"
+#include "net/byte_account.h"
 #include "net/quota.h"
 #include "numbers/numbers.h"
 #include "pgwire/build.h"
@@ -398,11 +398,11 @@
     CHECK(two.taken() == 1);
     { const auto c = std::move(a); }
     CHECK(two.taken() == 0 && !a);
-    net::Ledger ledger(10);
-    ledger.add(11);
-    CHECK(ledger.over());
-    ledger.remove(1);
-    CHECK(!ledger.over() && ledger.held() == 10);
+    net::ByteAccount account(10);
+    account.add(11);
+    CHECK(account.over());
+    account.remove(1);
+    CHECK(!account.over() && account.held() == 10);
     constexpr auto all = net::share(1024);
     static_assert(all.clients + all.overflow + all.members < 1024 - 16, "room for the process's own");
 }
