--- a/include/nettletrestle/router.h
+++ b/include/nettletrestle/router.h
@@ -44,6 +44,7 @@
     int rank = -1;    // this one's number among them, from 0; -1 where it is not told
     int zone = 0;
     bool list_on_request = false;   // the list must be asked for
+    bool own_agent = false;         // ... of an agent that no other router calls
     bool session_age_told = false;  // session reads carry the age of their last write
     bool positions_in_answers = true;
     PositionCheck position_check = PositionCheck::none;
@@ -138,6 +139,9 @@
     RequestId request = 0;
     ServerId server = 0;
     Micros timeout_us = 0;
+    // A repeat of what may have run: written within that time or not at all, however long its connection
+    // takes.
+    std::optional<Micros> begin_within_us = {};
 };
 // Why the router gave a request up.
 enum class Cause {
