Write no notice into an answer that is passed on in pieces

By rereading the looks at clients whose input has ended: the notice by which one that has left shows was written wherever the answer stood, so a client that ended its input amid a value of 64 KiB and more got it inside the value. The scenario fails without the change: the client reads a message of 1,987,475,062 bytes.

--- a/src/front/clients/session.cpp
+++ b/src/front/clients/session.cpp
@@ -380,7 +380,9 @@
     return request_ && state_ == State::open && connection_->held() >= kBehindRequest;
 }
 
+// Not amid an answer in pieces: nothing may stand between those, and who has left shows as they are written.
 void Session::look_whether_left(Micros from_now) {
+    if (source_) return;
     if (!told_of_end_ && (input_over_ || connection_->peer_has_ended())) {
         told_of_end_ = true;
         std::string out;
--- a/tests/net/scenarios.cpp
+++ b/tests/net/scenarios.cpp
@@ -353,6 +353,18 @@
         a expect large:4194304
         m1.1 send finish
         a expect ready)");
+    // The notice by which a client that has left shows was written into the value.
+    play("an end of input amid a value in pieces puts nothing into it", {}, R"(
+        a send startup read:1
+        a expect up ready
+        m1.1 expect startup
+        m1.1 send up
+        m1.1 expect query:id=1
+        m1.1 send begin:300000 some:100000
+        a holding 50000
+        a send half
+        m1.1 send some:200000 finish
+        a expect large:300000 ready end)");
     play("a row that is longer than its message is refused by its head, and another member is asked", two, R"(
         a send startup read:1
         a expect up ready
