Force a request behind the shutdown and a full backlog at the listener's close

Both orders of a request and an idle close: behind the shutdown it was answered by a reset before the lingering close (mutant: close at once), in front of it it is taken. With all descriptors in use one client waits in the kernel's queue as SIGTERM ends the listening: told 53300 now, and nothing without Listener::take_all.

--- a/tests/net/loopback.h
+++ b/tests/net/loopback.h
@@ -61,6 +61,12 @@
         return fd >= 0 && ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT) ==
                               static_cast<ssize_t>(bytes.size());
     }
+    // Whether the other end has reset the connection.
+    bool was_reset() const {
+        int error = 0;
+        socklen_t size = sizeof error;
+        return getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0;
+    }
     void half_close() { shutdown(fd, SHUT_WR); }
     void close() {
         if (fd >= 0) ::close(std::exchange(fd, -1));
--- a/tests/net/stages_test.cpp
+++ b/tests/net/stages_test.cpp
@@ -82,6 +82,34 @@
     for (const auto& q : w.queries) EXPECT_LE(std::stoi(q.id.substr(1)), w.answers()) << q.id;
 }
 
+// All shares of descriptors are in use, so one more client waits with the kernel, when the listener is
+// closed.
+TEST(Stop, AnswersWhoTheKernelHadAcceptedBeforeTheListenerCloses) {
+    World w(deployment(), 64);
+    w.open_watch();
+    const auto startup = text([](auto& b) { b.startup("u", "d"); });
+    const auto shares = net::share(64);
+    std::vector<Peer> busy;
+    for (int i = 0; i < shares.clients + shares.overflow; ++i) {
+        busy.push_back(connect_to(w.port()));
+        busy.back().send(startup + w.request("glance").substr(0, 20));  // half of one: it makes no room
+        w.turns();
+    }
+    Peer last = connect_to(w.port());
+    last.send(startup + w.request("glance"));
+    w.turns();
+    last.read();
+    ASSERT_TRUE(last.in.empty()) << "nobody has accepted it";
+    raise(SIGTERM);
+    w.turns();
+    w.clock.at += 650'000;  // in this sweep the listener goes
+    w.turns(40);
+    last.read();
+    EXPECT_NE(last.in.find("53300"), std::string::npos) << "it is told to come again";
+    w.go_on(kKill);
+    EXPECT_TRUE(w.over());
+}
+
 // Both ends shut in one instant, with a request on its way: nothing read behind the shutdown is sent on.
 TEST(Close, AnIdleConnectionIsClosedOverARequestThatIsNotTaken) {
     World w;
@@ -96,11 +124,29 @@
     const auto before = w.queries.size();
     w.ask("amend");
     w.turns();
+    EXPECT_FALSE(w.client.was_reset()) << "a reset can take the last answer with it";
     w.go_on(1'500'000);
     EXPECT_EQ(w.queries.size(), before);
     EXPECT_EQ(w.answers(), 1);
 }
 
+// The other order: the request is with the kernel as the proxy is about to close, so it is taken.
+TEST(Close, ARequestThatComesBeforeAnIdleConnectionIsClosedIsTaken) {
+    World w;
+    w.open_watch();
+    w.connect();
+    w.ask("amend");
+    w.await([&] { return !w.queries.empty(); });
+    w.answer_all();
+    w.await([&] { return w.answers() == 1; });
+    w.clock.at += 11'000'000;
+    w.ask("amend");
+    w.await([&] { return w.queries.size() == 2; });
+    w.answer_all();
+    w.await([&] { return w.answers() == 2; });
+    EXPECT_FALSE(w.client.ended);
+}
+
 // A repeat was chosen within the window, and its connection comes up within it or behind it.
 TEST(Repeat, ThatWaitsForItsConnectionBeginsWithinItsWindowOrNotAtAll) {
     for (const bool in_time : {true, false}) {
