Write the first served request of the crossing tests once, drop a field nobody reads

Three places wrote out the same four lines; World::ask_and_serve holds them. Query::on was set and never read.

--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -18,10 +18,7 @@
     w.connect();
     if (point == Point::connecting) w.members_greet = false;
     if (point == Point::resting) {
-        w.ask(klass);
-        w.await([&] { return !w.queries.empty(); });
-        w.answer_all();
-        w.await([&] { return w.answers() == 1; });
+        w.ask_and_serve(klass);
         w.clock.at += 50'000;  // the link has rested
         w.turns();
         return;
--- a/tests/net/stages_test.cpp
+++ b/tests/net/stages_test.cpp
@@ -115,10 +115,7 @@
     World w;
     w.open_watch();
     w.connect();
-    w.ask("amend");
-    w.await([&] { return !w.queries.empty(); });
-    w.answer_all();
-    w.await([&] { return w.answers() == 1; });
+    w.ask_and_serve("amend");
     w.clock.at += 11'000'000;  // idle for too long
     w.await([&] { return w.client.ended; });
     const auto before = w.queries.size();
@@ -135,10 +132,7 @@
     World w;
     w.open_watch();
     w.connect();
-    w.ask("amend");
-    w.await([&] { return !w.queries.empty(); });
-    w.answer_all();
-    w.await([&] { return w.answers() == 1; });
+    w.ask_and_serve("amend");
     w.clock.at += 11'000'000;
     w.ask("amend");
     w.await([&] { return w.queries.size() == 2; });
--- a/tests/net/world.h
+++ b/tests/net/world.h
@@ -75,7 +75,6 @@
     int member;
     std::string id;
     Time at;
-    Peer* on;
 };
 
 class World {
@@ -104,6 +103,13 @@
                     ",d=" + std::to_string(kDeadline / 1000) + ",k=" + id + ",cluster=0 */");
         });
     }
+    // Asks the client's first request and has it served.
+    void ask_and_serve(const char* klass) {
+        ask(klass);
+        await([this] { return !queries.empty(); });
+        answer_all();
+        await([this] { return answers() == 1; });
+    }
     // The members answer whatever has come to them.
     void answer_all() {
         look();
@@ -252,7 +258,7 @@
                 const std::string statement(pgwire::Fields(m->body).text());
                 const auto from = statement.find("id=") + 3;
                 queries.push_back(
-                    {number, statement.substr(from, statement.find(',', from) - from), clock.at, &p});
+                    {number, statement.substr(from, statement.find(',', from) - from), clock.at});
                 open_[&p] = queries.back().id;
             }
             p.in.erase(0, m->size);
