Wait for calls longer than discovery lets them, and back off by how they failed

So calls let in waited up to discovery's own 2 s, but were given up after 1.2 s (`kPatience` in route/calls): it did most of its work for nobody (none was answered from 7 to 8 s), its queue stayed full, and the rest was refused and came again after half a second.

Change: patience 2.3 s for all but two calls behind a silence; back-off by beginnings (3.5 s between two at most), from 1 s where discovery refused, told by `FailedCall`; behind a refusal one held call in place of two calls; a hold that is doubled where held calls are refused again and again, and shrinks as they are answered.

Tests seen to fail with patience 1.2 s (five), with no held call behind a refusal (four), with a fixed hold (two). Two tests of calls_test changed: the schedule's chains are asserted for each way to fail, and the doubling goes on to its new cap.

--- a/include/nettletrestle/router.h
+++ b/include/nettletrestle/router.h
@@ -80,9 +80,14 @@
     ServerState state = ServerState::ready;
 };
 enum class ListKind { cached, changes, complete, failed };
+struct FailedCall {
+    bool refused = false;           // by an answer that is no list; else there was none
+    std::optional<Micros> took_us;  // from its beginning; not told: as long as calls are waited for
+};
 struct ServerList {
     ListKind kind = ListKind::complete;
     std::shared_ptr<const std::vector<ServerEntry>> entries;
+    FailedCall call = {};  // where the kind is failed
 };
 struct Arrival {
     RequestId request = 0;
--- a/src/app/server/server.cpp
+++ b/src/app/server/server.cpp
@@ -66,13 +66,6 @@
     return config.known.is_null() ? std::nullopt : std::optional(known.revision);
 }
 
-discovery::Watch::Patience patience(const nettletrestle::Settings& s, std::uint64_t seed) {
-    const nettletrestle::route::Calls calls(s);
-    // Drawn, so that watches which begin together do not end together ever after.
-    const auto first = nettletrestle::route::first_hold(seed, calls.hold());
-    return {calls.hold(), first, nettletrestle::route::Calls::kLate, calls.patience()};
-}
-
 // Where the processes of one proxy find each other.
 std::string tie_path(const config::Config& config) {
     auto name = config.name;
@@ -106,7 +99,7 @@
       waits_for_list_(!config.settings.router.list_on_request) {
     watch_ = std::make_unique<discovery::Watch>(
         loop_, deadlines_, config.discovery, config.discovery_host, lists_, known_revision(config, known_),
-        bans_, patience(module_settings(config.settings.router), config.seed));
+        bans_, nettletrestle::route::CallTimes(module_settings(config.settings.router), config.seed));
     proxy_.attach({pool_, [this] { watch_->start(); },
                    [this](auto kind, const auto& entries) { pool_.listed(kind, entries); }});
     client_listener_ = std::make_unique<clients::ClientListener>(
--- a/src/core/proxy/proxy.cpp
+++ b/src/core/proxy/proxy.cpp
@@ -111,10 +111,6 @@
 void Proxy::probe_ended(const module::ProbeEnded& end) { events_.emplace_back(end); }
 
 void Proxy::listed(ListKind kind, std::vector<traffic::Entry> entries) {
-    if (kind == ListKind::failed) {
-        events_.emplace_back(module::ServerList{kind, nullptr});
-        return;
-    }
     if (kind != ListKind::changes) ready_.clear();
     auto servers = std::make_shared<std::vector<module::ServerEntry>>();
     for (const auto& e : entries) {
@@ -130,6 +126,10 @@
     hands_->list_changed(kind, entries);
 }
 
+void Proxy::call_failed(const module::FailedCall& call) {
+    events_.emplace_back(module::ServerList{ListKind::failed, nullptr, call});
+}
+
 // ---- actions ----
 traffic::ResponseSink* Proxy::close(traffic::RequestId request) {
     const auto found = open_.find(request);
--- a/src/core/proxy/proxy.h
+++ b/src/core/proxy/proxy.h
@@ -47,6 +47,7 @@
     bool still_wanted(traffic::RequestId request) override;
     // ListReader
     void listed(nettletrestle::ListKind kind, std::vector<traffic::Entry> entries) override;
+    void call_failed(const nettletrestle::FailedCall& call) override;
 
 private:
     struct Open {
--- a/src/core/traffic/traffic.h
+++ b/src/core/traffic/traffic.h
@@ -128,8 +128,9 @@
 };
 class ListReader {
 public:
-    // `entries` is empty where the kind is failed.
+    // The kind is not failed.
     virtual void listed(nettletrestle::ListKind kind, std::vector<Entry> entries) = 0;
+    virtual void call_failed(const nettletrestle::FailedCall& call) = 0;
 
 protected:
     ~ListReader() = default;
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -389,7 +389,7 @@
     // ---- list ----
     void on(const ServerList& l) {
         if (l.kind == ListKind::failed || !l.entries) {
-            actions_->emplace_back(SetTimer{calls_.failed(unit()), kWatchToken});
+            actions_->emplace_back(SetTimer{calls_.failed(l.call, unit()), kWatchToken});
             return;
         }
         if (l.kind != ListKind::cached) comeback_.list_told(), calls_.told();
--- a/src/fleet/bans/bans.h
+++ b/src/fleet/bans/bans.h
@@ -16,6 +16,7 @@
     explicit Bans(traffic::ListReader& next) : next_(next) {}
 
     void listed(nettletrestle::ListKind kind, std::vector<traffic::Entry> entries) override;
+    void call_failed(const nettletrestle::FailedCall& call) override { next_.call_failed(call); }
     void ban(const std::string& name);
     // One call back ends the ban; what discovery says now, a restart included, is passed on with it.
     void lift(const std::string& name);
--- a/src/fleet/discovery/watch.cpp
+++ b/src/fleet/discovery/watch.cpp
@@ -13,7 +13,8 @@
 }  // namespace
 
 Watch::Watch(net::Loop& loop, Deadlines& deadlines, const sockaddr_in& at, std::string host, Reader& lists,
-             std::optional<std::int64_t> revision, traffic::ListReader& reader, const Patience& patience)
+             std::optional<std::int64_t> revision, traffic::ListReader& reader,
+             const nettletrestle::route::CallTimes& times)
     : loop_(loop),
       deadlines_(deadlines),
       at_(at),
@@ -21,8 +22,7 @@
       lists_(lists),
       revision_(revision),
       reader_(reader),
-      times_(patience),
-      hold_(patience.first_hold) {}
+      times_(times) {}
 
 void Watch::start() {
     if (running_) return;
@@ -38,19 +38,20 @@
     response_.reset();
     connection_.reset();
     patience_.clear();
-    held_ = false;
+    times_.moved();
     running_ = false;
     start();
 }
 
-// A held call shows only at its end whether discovery is still there: one is begun behind an answer alone.
 void Watch::call() {
     response_.emplace();
     begun_at_ = deadlines_.now();
+    next_ = times_.next();
     reused_ = connection_ != nullptr;
     if (connection_) return write_call();
     up_ = false;
-    patience_.set(deadlines_, begun_at_ + times_.call, [this] { failed("cannot connect in time"); });
+    patience_.set(deadlines_, begun_at_ + next_.give_up - next_.hold,
+                  [this] { failed("cannot connect in time"); });
     connection_ = net::Connection::open(loop_, at_, kMostUnread, *this);
     if (!connection_) failed("no socket");
 }
@@ -63,13 +64,11 @@
 // The time that its connection took comes off the hold: the sum is what counts.
 void Watch::write_call() {
     std::string call = "GET /registry/instances";
-    Time until = begun_at_ + times_.call;
     if (revision_) {
-        const Micros hold = held_ ? std::max(kLeastHold, hold_ - (deadlines_.now() - begun_at_)) : kLeastHold;
-        if (held_) until = begun_at_ + hold_ + times_.late;
+        const Micros hold = std::max(kLeastHold, next_.hold - (deadlines_.now() - begun_at_));
         call += "?after=" + std::to_string(*revision_) + "&wait_ms=" + std::to_string(hold / 1000);
     }
-    patience_.set(deadlines_, until, [this] { silent(); });
+    patience_.set(deadlines_, begun_at_ + next_.give_up, [this] { silent(); });
     connection_->write(call + " HTTP/1.1\r\nHost: " + host_ + "\r\nAccept: application/json\r\n\r\n");
 }
 
@@ -86,11 +85,11 @@
 void Watch::answered() {
     const auto response = std::move(*response_);
     response_.reset();
-    if (response.status() != 200) return failed("status " + std::to_string(response.status()));
+    if (response.status() != 200) return failed("status " + std::to_string(response.status()), true);
     auto list = lists_.read(response.body(), revision_);
-    if (revision_ && held_) hold_ = times_.hold;
+    times_.answered(is_held());
     revision_ = list.revision;
-    called_ = held_ = true;
+    called_ = true;
     if (!response.keeps_open()) connection_.reset();
     reader_.listed(list.complete ? nettletrestle::ListKind::complete : nettletrestle::ListKind::changes,
                    std::move(list.members));
@@ -114,23 +113,25 @@
 // What a silent watch has missed is on its way to count as told, so it is opened anew at once, and not after
 // a failed call's wait. Harm: none that adds up, since each proxy's were held for a time of their own.
 void Watch::silent() {
-    if (!revision_ || !held_) return failed("no answer in time");
+    if (!is_held()) return failed("no answer in time");
     log::line("discovery silent", "the watch is opened anew");
-    hold_ = times_.hold;
-    held_ = false;
+    times_.unanswered(true);
     response_.reset();
     connection_.reset();
     call();
 }
 
-void Watch::failed(const std::string& why) {
+void Watch::failed(const std::string& why, bool refused) {
     log::line("discovery failed", why);
-    running_ = held_ = false;
+    const bool held = is_held();
+    refused ? times_.refused(held) : times_.unanswered(held);
+    running_ = false;
     called_ = true;
     response_.reset();
     connection_.reset();
     patience_.clear();
-    reader_.listed(nettletrestle::ListKind::failed, {});
+    // Up to its failure a held call would have told of a change at once.
+    reader_.call_failed({refused, held ? 0 : deadlines_.now() - begun_at_});
 }
 
 }  // namespace sloestack::discovery
--- a/src/fleet/discovery/watch.h
+++ b/src/fleet/discovery/watch.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "calls/calls.h"
 #include "deadlines/deadlines.h"
 #include "discovery/list.h"
 #include "http/response.h"
@@ -14,12 +15,9 @@
 
 class Watch final : public net::ConnectionEvents {
 public:
-    // How long a call is held and waited for: the schedule's (route/calls), all in us.
-    struct Patience {
-        Micros hold, first_hold, late, call;
-    };
     Watch(net::Loop& loop, Deadlines& deadlines, const sockaddr_in& at, std::string host, Reader& lists,
-          std::optional<std::int64_t> revision, traffic::ListReader& reader, const Patience& patience);
+          std::optional<std::int64_t> revision, traffic::ListReader& reader,
+          const nettletrestle::route::CallTimes& times);
 
     // Starts the loop where it does not run. A failure ends it and is told to the reader, who decides when to
     // ask again.
@@ -37,9 +35,11 @@
 private:
     void call();
     void write_call();
+    bool is_held() const { return revision_ && next_.hold > 0; }
     void answered();
     void silent();
-    void failed(const std::string& why);
+    // `refused`: an answer that is no list has come, so discovery is there.
+    void failed(const std::string& why, bool refused = false);
 
     net::Loop& loop_;
     Deadlines& deadlines_;
@@ -50,11 +50,10 @@
     traffic::ListReader& reader_;
     std::unique_ptr<net::Connection> connection_;
     std::optional<http::ResponseParser> response_;  // there while a call is out
-    Patience times_;
+    nettletrestle::route::CallTimes times_;
+    nettletrestle::route::CallTimes::Next next_ = {};  // the call that is out, or the last one
     Deadline patience_;
     Time begun_at_ = 0;  // the call, its connection included
-    Micros hold_;        // how long discovery is to hold the next held call back
-    bool held_ = false;  // the next call is: the last one was answered, so discovery is there
     bool running_ = false, up_ = false, called_ = false;
     bool reused_ = false;  // the call went out on a connection that had served another
 };
--- a/src/fleet/upstream/pool.cpp
+++ b/src/fleet/upstream/pool.cpp
@@ -56,7 +56,6 @@
 
 // ---- the list ----
 void Pool::listed(ListKind kind, const std::vector<traffic::Entry>& entries) {
-    if (kind == ListKind::failed) return;
     if (kind != ListKind::changes)
         for (auto& [id, member] : members_)
             if (std::none_of(entries.begin(), entries.end(),
--- a/tests/calls_test.cpp
+++ b/tests/calls_test.cpp
@@ -12,6 +12,7 @@
 
 using namespace nettletrestle;
 using route::Calls;
+using route::CallTimes;
 
 constexpr double kHighest = 0.999'999'9;  // of a draw
 
@@ -39,37 +40,90 @@
     return most;
 }
 
-// The longest wait that a failed call can bring, however many have failed before it.
-Micros longest_back_off(const Settings& s) {
+// How discovery may fail a call, and after how long: at once, in its queue, or not at all.
+constexpr Micros kQueue = 2'000'000;
+const FailedCall kFates[] = {{true, 0}, {true, kQueue}, {false, 0}, {false, Calls::kPatience}, {false, {}}};
+
+// From the beginning of a call that fails so to the next one's, at most, however many have failed before it.
+Micros longest_between(const Settings& s, const FailedCall& fate) {
     Calls c(s);
     Micros most = 0;
-    for (int i = 0; i < 20; ++i) most = std::max(most, c.failed(kHighest));
-    return most;
+    for (int i = 0; i < 20; ++i) most = std::max(most, c.failed(fate, kHighest));
+    return most + fate.took_us.value_or(Calls::kPatience);
+}
+
+// One whose held call has been answered; its next call is held.
+CallTimes watching(const Settings& s) {
+    CallTimes t(s, 7);
+    t.answered(false);
+    t.answered(true);
+    return t;
 }
 
 TEST(Calls, EveryChainOfWaitsIsUnderSixSeconds) {
     for (int routers = 1; routers <= 2000; ++routers)
         for (const auto& s : {of(routers), pushed(routers)}) {
-            const Calls c(s);
-            const Micros silent = c.hold() + Calls::kLate;
-            EXPECT_LT(silent + c.patience(), Calls::kToldBy) << routers;
-            EXPECT_LT(c.patience() + longest_back_off(s) + c.patience(), Calls::kToldBy) << routers;
-            EXPECT_LT(c.first(kHighest) + c.patience(), Calls::kToldBy) << routers;
+            const Micros patience = CallTimes(s, 1).next().give_up;
+            EXPECT_LE(patience, Calls::kPatience);
+            auto t = watching(s);
+            const Micros silent = t.next().give_up;
+            t.unanswered(true);
+            const Micros behind_silence = t.next().give_up;
+            EXPECT_LT(silent + behind_silence, Calls::kToldBy) << routers;
+            for (const auto& fate : kFates)
+                EXPECT_LT(longest_between(s, fate) + patience, Calls::kToldBy) << routers;
+            EXPECT_LT(Calls(s).first(kHighest) + patience, Calls::kToldBy) << routers;
+            auto refused = watching(s);
+            refused.refused(false);
+            EXPECT_LT(refused.next().give_up + behind_silence, Calls::kToldBy) << routers;
             if (routers > 166 && !s.own_agent) continue;
-            Calls fresh(s);
-            EXPECT_LT(silent + c.patience() + fresh.failed(kHighest) + c.patience(), Calls::kToldBy)
-                << routers;
+            for (const auto& fate : {kFates[0], kFates[2], FailedCall{false, behind_silence}}) {
+                auto after = t;
+                fate.refused ? after.refused(false) : after.unanswered(false);
+                const Micros answered_by = fate.refused ? Calls::kPatience : after.next().give_up;
+                EXPECT_LT(silent + *fate.took_us + Calls(s).failed(fate, kHighest) + answered_by,
+                          Calls::kToldBy)
+                    << routers;
+            }
         }
 }
 
 TEST(Calls, FailedCallsBackOffWithFullJitterUntilOneIsAnswered) {
+    const FailedCall broken{false, 0}, refused{true, 0};
     Calls c(of(3));
-    EXPECT_EQ(c.failed(0), 1) << "all of the wait is drawn";
-    EXPECT_EQ(c.failed(0.5), 300'001);
-    EXPECT_EQ(c.failed(0.5), 500'001);
-    EXPECT_EQ(c.failed(0.5), 500'001) << "capped, so that the chain stays within its bound";
+    EXPECT_EQ(c.failed(broken, 0), 1) << "all of the wait is drawn";
+    EXPECT_EQ(c.failed(broken, 0.5), 300'001);
+    EXPECT_EQ(c.failed(broken, 0.5), 600'001);
+    EXPECT_EQ(c.failed(refused, 0.5), 1'750'001) << "capped, so that the chain stays within its bound";
+    c.told();
+    EXPECT_EQ(c.failed(broken, 0.5), 150'001);
     c.told();
-    EXPECT_EQ(c.failed(0.5), 150'001);
+    EXPECT_EQ(c.failed(refused, 0.5), 500'001) << "longer where discovery has too much to do";
+}
+
+// A call let in is worth waiting for: discovery itself refuses one that has waited for 2 s.
+TEST(Calls, NoCallIsGivenUpThatDiscoveryMayStillAnswer) {
+    for (const int routers : {1, 3, 30, 300, 1700}) {
+        CallTimes t(of(routers), 7);
+        EXPECT_GT(t.next().give_up, kQueue) << routers;
+        t.answered(false);
+        t.unanswered(true);
+        t.refused(false);
+        const auto held = t.next();
+        EXPECT_GT(held.hold, 0) << routers << ": one call in place of two";
+        EXPECT_GT(held.give_up, held.hold + kQueue) << routers;
+    }
+}
+
+TEST(Calls, HeldCallsThatAreRefusedAgainAndAgainAreHeldForLonger) {
+    auto t = watching(of(3));
+    t.refused(true);
+    t.answered(true);
+    EXPECT_EQ(t.next().hold, 2'000'000) << "one alone says nothing";
+    for (int i = 0; i < 9; ++i) t.refused(true);
+    EXPECT_EQ(t.next().hold, CallTimes::kLongestHold);
+    for (int i = 0; i < 40; ++i) t.answered(true);
+    EXPECT_EQ(t.next().hold, 2'000'000) << "and less again, step by step";
 }
 
 // Whoever has an agent of its own takes nobody's share, and what the agent has counts at once.
@@ -77,8 +131,8 @@
     for (const int routers : {1, 300}) {
         Calls c(pushed(routers));
         EXPECT_EQ(c.first(kHighest), 1);
-        for (int i = 0; i < 10; ++i) EXPECT_LE(c.failed(kHighest), Calls::kPushedBackOff);
-        EXPECT_EQ(c.hold(), Calls(of(1)).hold());
+        for (const auto& fate : kFates) EXPECT_LE(c.failed(fate, kHighest), Calls::kPushedBackOff);
+        EXPECT_EQ(watching(pushed(routers)).next().hold, watching(of(1)).next().hold);
     }
 }
 
@@ -103,7 +157,8 @@
     std::vector<Micros> at;
     for (int i = 0; i < 300; ++i) {
         Calls c(of(300));
-        for (Micros t = c.first(unit(random)); t < 30'000'000; t += c.patience() + c.failed(unit(random)))
+        for (Micros t = c.first(unit(random)); t < 30'000'000;
+             t += Calls::kPatience + c.failed({false, Calls::kPatience}, unit(random)))
             at.push_back(t);
     }
     EXPECT_LE(most_in_a_second(at), 190u);
@@ -112,13 +167,15 @@
 // In quiet times every router has one held call out.
 TEST(Calls, HeldCallsOfAFleetKeepToABudget) {
     for (int routers = 1; routers <= 300; ++routers)
-        EXPECT_LE(routers * 1e6 / static_cast<double>(Calls(of(routers)).hold()), 90) << routers;
+        EXPECT_LE(routers * 1e6 / static_cast<double>(watching(of(routers)).next().hold), 90) << routers;
 }
 
 TEST(Calls, FirstHoldsAreSpreadEvenly) {
     std::vector<int> tenths(10);
     for (std::uint64_t seed = 0; seed < 10'000; ++seed) {
-        const auto hold = route::first_hold(seed, 2'000'000);
+        CallTimes t(of(3), seed);
+        t.answered(false);
+        const auto hold = t.next().hold;
         ASSERT_GE(hold, 1'000);
         ASSERT_LE(hold, 2'000'000);
         ++tenths[static_cast<std::size_t>((hold - 1'000) / 200'000)];
--- a/tests/net/watch_test.cpp
+++ b/tests/net/watch_test.cpp
@@ -47,17 +47,16 @@
     explicit World(int routers)
         : calls_(settings(routers)),
           watch_(loop_, deadlines_, loopback::address(discovery_.port), "d", lists_, std::nullopt, *this,
-                 {calls_.hold(), calls_.hold() / 2, Calls::kLate, calls_.patience()}) {
+                 nettletrestle::route::CallTimes(settings(routers), 7)) {
         watch_.start();
     }
 
-    void listed(ListKind kind, std::vector<traffic::Entry> entries) override {
-        if (kind == ListKind::failed) {
-            ++failures;
-            // As the decision module does, with the longest draw.
-            again_.set(deadlines_, clock.at + calls_.failed(kHighest), [this] { watch_.start(); });
-            return;
-        }
+    void call_failed(const nettletrestle::FailedCall& call) override {
+        ++failures;
+        // As the decision module does, with the longest draw.
+        again_.set(deadlines_, clock.at + calls_.failed(call, kHighest), [this] { watch_.start(); });
+    }
+    void listed(ListKind, std::vector<traffic::Entry> entries) override {
         calls_.told();
         for (const auto& e : entries) {
             state = e.server.state;
--- a/tests/parser_tests.cpp
+++ b/tests/parser_tests.cpp
@@ -151,6 +151,7 @@
     void listed(nettletrestle::ListKind, std::vector<traffic::Entry> entries) override {
         for (auto& e : entries) now[e.name] = e;
     }
+    void call_failed(const nettletrestle::FailedCall&) override {}
     nettletrestle::ServerState of(const std::string& name) const { return now.at(name).server.state; }
 };
 
