Count what a held call may have waited in a queue in its back-off

Seen by reading: a held call that is refused after 2 s in discovery's queue was taken to have told of all up to its end, and the next one came up to 5.5 s behind its beginning.

--- a/src/fleet/discovery/watch.cpp
+++ b/src/fleet/discovery/watch.cpp
@@ -123,15 +123,13 @@
 
 void Watch::failed(const std::string& why, bool refused) {
     log::line("discovery failed", why);
-    const bool held = is_held();
-    refused ? times_.refused(held) : times_.unanswered(held);
+    refused ? times_.refused(is_held()) : times_.unanswered(is_held());
     running_ = false;
     called_ = true;
     response_.reset();
     connection_.reset();
     patience_.clear();
-    // Up to its failure a held call would have told of a change at once.
-    reader_.call_failed({refused, held ? 0 : deadlines_.now() - begun_at_});
+    reader_.call_failed({refused, deadlines_.now() - begun_at_});
 }
 
 }  // namespace sloestack::discovery
--- a/src/route/calls/calls.cpp
+++ b/src/route/calls/calls.cpp
@@ -63,7 +63,8 @@
 Micros Calls::failed(const FailedCall& call, double draw) {
     Micros most = kPushedBackOff;
     if (!own_agent_) {
-        const Micros left = kBetween - call.took_us.value_or(kPatience);
+        // A call that has been out for longer was held, and would have told of a change at once.
+        const Micros left = kBetween - std::min(kPatience, call.took_us.value_or(kPatience));
         most = (call.refused ? kFirstRefused : back_off_) << std::min(failures_, kMostDoublings);
         most = std::max<Micros>(0, std::min(most, left));
     }
--- a/standin/callers.cpp
+++ b/standin/callers.cpp
@@ -109,7 +109,7 @@
         r.parked = false;
         const bool held = r.next.hold > 0;
         refused ? r.times.refused(held) : r.times.unanswered(held);
-        const nettletrestle::FailedCall call{refused, held ? 0 : now_ - r.begun};
+        const nettletrestle::FailedCall call{refused, now_ - r.begun};
         at(now_ + r.calls.failed(call, unit_(random_)), Event::call, who);
     }
 
--- a/tests/calls_test.cpp
+++ b/tests/calls_test.cpp
@@ -42,14 +42,17 @@
 
 // How discovery may fail a call, and after how long: at once, in its queue, or not at all.
 constexpr Micros kQueue = 2'000'000;
-const FailedCall kFates[] = {{true, 0}, {true, kQueue}, {false, 0}, {false, Calls::kPatience}, {false, {}}};
+const FailedCall kFates[] = {
+    {true, 0}, {true, kQueue}, {true, 9'000'000}, {false, 0}, {false, Calls::kPatience}, {false, {}}};
 
 // From the beginning of a call that fails so to the next one's, at most, however many have failed before it.
 Micros longest_between(const Settings& s, const FailedCall& fate) {
     Calls c(s);
     Micros most = 0;
     for (int i = 0; i < 20; ++i) most = std::max(most, c.failed(fate, kHighest));
-    return most + fate.took_us.value_or(Calls::kPatience);
+    // One that has been out for longer than any queue lets it wait was held: it had told of all before its
+    // end.
+    return most + std::min(Calls::kPatience, fate.took_us.value_or(Calls::kPatience));
 }
 
 // One whose held call has been answered; its next call is held.
@@ -77,7 +80,7 @@
             refused.refused(false);
             EXPECT_LT(refused.next().give_up + behind_silence, Calls::kToldBy) << routers;
             if (routers > 166 && !s.own_agent) continue;
-            for (const auto& fate : {kFates[0], kFates[2], FailedCall{false, behind_silence}}) {
+            for (const auto& fate : {kFates[0], kFates[3], FailedCall{false, behind_silence}}) {
                 auto after = t;
                 fate.refused ? after.refused(false) : after.unanswered(false);
                 const Micros answered_by = fate.refused ? Calls::kPatience : after.next().give_up;
