Count a pipelined command's time from its own last byte

`Session::query` counted `d` from max(read_at_, answered_at_): the last answer, or the last read of anything. A command that had waited behind others was so given the whole of its time anew when its turn came, and the client left in between.

Of all requests that were open when their client closed near their time 73 of 73 had been read 50 ms and more before they were handed in, and each close came 61 to 62 ms after d, counted from the read. Of 45 that were handed in behind their time members served none.

Ruled out: the wait for long writes (381 answered writes, 1.4 s the longest, 0.78 s at the 99th percentile); input held in the kernel at 8 KiB (4 reads of 18,690). The earlier trial by read_at_ alone changed nothing since any later byte of the connection renews read_at_.

`ArrivalTimes` keeps, bounded, when each byte number of the stream was read; `d` counts from the read of the message's last byte. Where nothing is left of it the command is refused at once and what comes behind goes on.

--- /dev/null
+++ b/src/front/clients/arrival_times.cpp
@@ -0,0 +1,18 @@
+#include "clients/arrival_times.h"
+
+namespace sloestack::clients {
+
+void ArrivalTimes::came(std::uint64_t end, Time now) {
+    if (!reads_.empty() && reads_.back().end >= end) return;
+    if (reads_.size() == kMost || (!reads_.empty() && reads_.back().at == now))
+        reads_.back() = {end, now};
+    else
+        reads_.push_back({end, now});
+}
+
+Time ArrivalTimes::last_byte(std::uint64_t end, Time otherwise) {
+    while (!reads_.empty() && reads_.front().end < end) reads_.pop_front();
+    return reads_.empty() ? otherwise : reads_.front().at;
+}
+
+}  // namespace sloestack::clients
--- a/src/front/clients/session.cpp
+++ b/src/front/clients/session.cpp
@@ -110,6 +110,7 @@
 void Session::received() {
     if (state_ == State::finishing) return connection_->consume(connection_->held());
     read_at_ = office_.deadlines.now();
+    arrivals_.came(connection_->taken() + connection_->held(), read_at_);
     read_all();
     if (input_is_held() && !look_.is_set()) look_whether_left(kNextLook);
     // Each session keeps within its own bound; this guards the memory against all of them at once.
@@ -159,6 +160,7 @@
     if (!m) return false;
     owner_.used(*this);
     begun_at_ = 0;
+    asked_at_ = arrivals_.last_byte(connection_->taken() + m->size, read_at_);
     // Handled before the bytes are let go: the message stands in them.
     if (state_ == State::startup)
         start_up(m->body);
@@ -191,6 +193,7 @@
     auto whole = std::move(*large_);
     large_.reset();
     begun_at_ = 0;
+    asked_at_ = arrivals_.last_byte(connection_->taken(), read_at_);
     if (whole.text.find('\0') != whole.text.size() - 1) throw pgwire::BadMessage("a query without its end");
     whole.text.pop_back();
     if (skip_to_sync_) return true;
@@ -327,13 +330,19 @@
         kept->left_at = tags.left_at, kept->left_size = tags.left_size;
         a.klass = klass_;
         a.group = tags.cluster;
-        // Behind another request of this connection the wait for that one's answer does not count.
-        const Time asked_at = std::max(read_at_, answered_at_);
-        a.not_after = asked_at + tags.left_ms * 1000;
+        // Its client counts from when it has sent it, also what it waits for the answers before it. Where
+        // nothing is left of that, members turn it away as over; it is told at once, and what comes behind
+        // it goes on.
+        const Time now = office_.deadlines.now();
+        a.not_after = asked_at_ + tags.left_ms * 1000;
+        if (a.not_after <= now) {
+            office_.numbers.given_up(klass_, nettletrestle::Cause::out_of_time);
+            return refused(0);
+        }
         a.repeat = tags.repeat;
         if (office_.sessions_named) a.session = hash(tags.quoted);
         if (tags.after_ms && *tags.after_ms > 0)
-            a.last_write_age_us = std::max<Micros>(1, asked_at - *tags.after_ms * 1000);
+            a.last_write_age_us = std::max<Micros>(1, now - *tags.after_ms * 1000);
         // Two requests of one name cannot be told apart by a member that drops repeats.
         if (!office_.open_ids.emplace(tags.id).second) {
             office_.numbers.answered(klass_, numbers::Numbers::errors);
--- a/src/front/clients/session.h
+++ b/src/front/clients/session.h
@@ -12,6 +12,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "clients/arrival_times.h"
 #include "deadlines/deadlines.h"
 #include "net/connection.h"
 #include "net/quota.h"
@@ -153,6 +154,8 @@
     int klass_ = -1;  // of the request asked last
     std::string id_;  // the client's name for the open request
     Time came_at_, read_at_ = 0, begun_at_ = 0, answered_at_ = 0;
+    ArrivalTimes arrivals_;
+    Time asked_at_ = 0;  // when the last byte came of the message read last
     // When the client must have gone on by: the limit that binds in the state at hand.
     Deadline limit_;
     Deadline look_, go_on_;
--- a/src/net/net/connection.cpp
+++ b/src/net/net/connection.cpp
@@ -123,6 +123,7 @@
 }
 
 void Connection::consume(std::size_t bytes) {
+    taken_ += std::min(bytes, held());
     evbuffer_drain(bufferevent_get_input(bev_.get()), bytes);
     read_or_rest();
 }
@@ -145,6 +146,7 @@
 void Connection::move_to(std::string& to, std::size_t bytes) {
     const auto start = to.size();
     to.resize(start + std::min(bytes, held()));
+    taken_ += to.size() - start;
     evbuffer_remove(bufferevent_get_input(bev_.get()), to.data() + start, to.size() - start);
     read_or_rest();
 }
--- a/src/net/net/connection.h
+++ b/src/net/net/connection.h
@@ -57,7 +57,8 @@
     void hold(bool on);                                            // stops or goes on reading
     std::uint64_t sent() const { return written_ - unwritten(); }  // bytes the kernel has taken
     std::size_t unwritten() const;
-    std::size_t held() const;  // bytes received and not consumed
+    std::size_t held() const;                       // bytes received and not consumed
+    std::uint64_t taken() const { return taken_; }  // bytes consumed or moved, in all
     // No more will be written; the peer sees an end once it has read all. Input still comes.
     void end_writing();
     sockaddr_in local() const;  // this end's address, all zero where there is none yet
@@ -81,7 +82,7 @@
     std::unique_ptr<bufferevent, Free> bev_;
     ConnectionEvents& events_;
     ByteAccount* account_;
-    std::uint64_t written_ = 0;
+    std::uint64_t written_ = 0, taken_ = 0;
     std::size_t most_unread_;
     bool held_back_ = false, reads_ = true;
     bool* destroyed_ = nullptr;  // while a callback about input runs: whether that has destroyed this
--- a/tests/net/stages_test.cpp
+++ b/tests/net/stages_test.cpp
@@ -200,6 +200,49 @@
     w.await([&] { return w.answers() == 1; });
 }
 
+// Several commands come at once, and more while the first is open: each one's time counts from its own last
+// byte.
+TEST(Pipeline, TimeCountsFromWhenACommandCameNotFromTheAnswerBeforeIt) {
+    World w;
+    w.open_watch();
+    w.connect();
+    const auto second = w.request("amend"), first = w.request("amend");
+    w.client.send(first + second.substr(0, 20));
+    w.await([&] { return w.queries.size() == 1; });
+    w.clock.at += 300'000;
+    w.client.send(second.substr(20));  // it is whole, and comes now
+    w.turns();
+    w.clock.at += 200'000;
+    w.client.send(w.request("amend", 400'000));
+    w.turns();
+    w.clock.at += 500'000;
+    w.turns();
+    w.answer_all();
+    w.await([&] { return w.queries.size() == 2; });
+    EXPECT_EQ(w.queries.back().left, kDeadline - 700'000) << "what is left to the client";
+    w.answer_all();
+    w.await([&] { return w.answers() == 3; });
+    EXPECT_NE(w.client.in.find("53300"), std::string::npos)
+        << "nothing was left to the third: refused at once";
+    EXPECT_EQ(w.queries.size(), 2u) << "and never sent on";
+    EXPECT_FALSE(w.client.ended);
+}
+
+// The second one's time ends while it is open: it is answered then, not when it would have been alone.
+TEST(Pipeline, ACommandIsGivenUpAtItsOwnTime) {
+    World w;
+    w.open_watch();
+    w.connect();
+    w.client.send(w.request("glance") + w.request("amend"));
+    w.await([&] { return w.queries.size() == 1; });
+    w.clock.at += 1'500'000;
+    w.turns();
+    w.answer_all();
+    w.await([&] { return w.queries.size() == 2; });
+    w.clock.at += 510'000;
+    w.await([&] { return w.answers() == 2; });
+}
+
 // Two customers side by side: what only the other one has is an error here, and is never sent on.
 TEST(Settings, OfAnotherCustomerAreUnknownHere) {
     const std::vector<Class> others = {
