Begin reads of one connection side by side, answer in order

`Session::Query` takes the place of the one open request: a sink of its own for each, eight at most. A read that may be repeated, by effect and need of its class, begins beside others like it; anything else waits for all before it, and all behind it for that. Answers leave in order, whole ones are kept and counted in the account, a value in pieces has its source held until it is the first. Leaving, the end of the connection and SIGTERM end all; a request to cancel ends the first.

Tests: network_tests and the Pipeline tests pass in release; with sanitizers network_tests and Pipeline, Stop and Close. The whole of ctest had not ended when this was written.

--- a/src/app/server/server.cpp
+++ b/src/app/server/server.cpp
@@ -47,6 +47,14 @@
                        [](const auto& c) { return c.need == nettletrestle::Need::session; });
 }
 
+// Reads that may be repeated change nothing that another read could tell.
+std::vector<bool> overlapping(const nettletrestle::Settings& s) {
+    std::vector<bool> out;
+    for (const auto& c : s.classes)
+        out.push_back(c.effect == nettletrestle::Effect::safe && c.need != nettletrestle::Need::write);
+    return out;
+}
+
 Micros longest_wait(const nettletrestle::Settings& s) {
     Micros out = 0;
     for (const auto& c : s.classes) out = std::max(out, c.deadline_us);
@@ -112,7 +120,8 @@
     client_listener_ = std::make_unique<clients::ClientListener>(
         loop_, deadlines_, clients::ClientListener::Quotas{clients_, overflow_, lingering_}, account_, room_,
         numbers_, clients::Entrance{config.listen, config.passed_socket}, proxy_, config.settings.class_names,
-        sessions_named(config.settings.router), longest_wait(config.settings.router), config.seed);
+        overlapping(config.settings.router), sessions_named(config.settings.router),
+        longest_wait(config.settings.router), config.seed);
     if (config.control)
         control_ = std::make_unique<control::Door>(loop_, deadlines_, *config.control,
                                                    static_cast<control::Operated&>(*this));
--- a/src/front/clients/client_listener.cpp
+++ b/src/front/clients/client_listener.cpp
@@ -28,8 +28,8 @@
 ClientListener::ClientListener(net::Loop& loop, Deadlines& deadlines, const Quotas& quotas,
                                net::ByteAccount& account, net::Room& room, numbers::Numbers& numbers,
                                const Entrance& at, traffic::RequestDispatcher& dispatcher,
-                               std::vector<std::string> class_names, bool sessions_named, Micros longest_wait,
-                               std::uint64_t seed)
+                               std::vector<std::string> class_names, std::vector<bool> class_overlaps,
+                               bool sessions_named, Micros longest_wait, std::uint64_t seed)
     : loop_(loop),
       deadlines_(deadlines),
       quota_(quotas.clients),
@@ -45,6 +45,7 @@
               lingering_,
               numbers,
               std::move(class_names),
+              std::move(class_overlaps),
               sessions_named,
               CancelKeys(seed)},
       longest_wait_(std::min(longest_wait, kLongestWait)) {}
--- a/src/front/clients/client_listener.h
+++ b/src/front/clients/client_listener.h
@@ -25,11 +25,12 @@
         net::Quota& overflow;   // of those that are only told to come again
         net::Quota& lingering;  // of those that have ended on this side
     };
-    // `seed` is for the keys that clients cancel by.
+    // `class_overlaps` has a word for each of `class_names`. `seed` is for the keys that clients cancel by.
     ClientListener(net::Loop& loop, Deadlines& deadlines, const Quotas& quotas, net::ByteAccount& account,
                    net::Room& room, numbers::Numbers& numbers, const Entrance& at,
                    traffic::RequestDispatcher& dispatcher, std::vector<std::string> class_names,
-                   bool sessions_named, Micros longest_wait, std::uint64_t seed);
+                   std::vector<bool> class_overlaps, bool sessions_named, Micros longest_wait,
+                   std::uint64_t seed);
     ~ClientListener();
 
     // Begins to accept. Throws std::runtime_error where the address cannot be listened on.
--- a/src/front/clients/session.cpp
+++ b/src/front/clients/session.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "invariant/invariant.h"
 #include "pgwire/build.h"
 #include "pgwire/statement.h"
 
@@ -18,10 +19,13 @@
 constexpr std::size_t kMostUnwritten = pgwire::kLargestMessage;
 constexpr std::size_t kFairShare = 16 * 1024;  // unread at one session, where all of them hold too much
 constexpr int kMostAtOnce = 16;                // messages of one client in one turn
-constexpr std::size_t kWindow = 64 * 1024;     // of an answer in pieces, waiting for the client
-constexpr Micros kFirstWord = 2'400'000;       // a client that has asked nothing by then is let go
-constexpr Micros kWholeMessage = 2'200'000;    // from a message's first byte to its last: heads may take 2 s
-constexpr Micros kNextPart = 2'200'000;        // from one part of a large statement to the next
+// Queries of one client that are open at once. Clients were seen to keep up to nine commands on their way;
+// each takes a connection to a member, and members hold few.
+constexpr std::size_t kMostOpen = 8;
+constexpr std::size_t kWindow = 64 * 1024;   // of an answer in pieces, waiting for the client
+constexpr Micros kFirstWord = 2'400'000;     // a client that has asked nothing by then is let go
+constexpr Micros kWholeMessage = 2'200'000;  // from a message's first byte to its last: heads may take 2 s
+constexpr Micros kNextPart = 2'200'000;      // from one part of a large statement to the next
 constexpr Micros kLookForRoom = 5'000;
 constexpr Micros kIdle = 10'000'000;         // a client that asks no more is let go; it may come again
 constexpr Micros kTakesNothing = 5'000'000;  // a client that takes nothing of its answers for so long, too
@@ -60,6 +64,14 @@
 
 std::int64_t milliseconds(Micros time) { return (time + 999) / 1000; }
 
+std::string refusal(Micros retry_after) {
+    std::string out;
+    Builder(out)
+        .error("ERROR", pgwire::code::kTooManyConnections, "not now", milliseconds(retry_after))
+        .ready();
+    return out;
+}
+
 }  // namespace
 
 CancelKey CancelKeys::add(Session& session) {
@@ -88,12 +100,11 @@
 Session::~Session() {
     office_.room.leave(this);
     office_.keys.remove(key_);
-    give_back_id();
-    if (request_) office_.dispatcher.withdraw(request_);
+    withdraw_all();
 }
 
 bool Session::is_silent() const {
-    return !request_ && !large_ && connection_->held() == 0 && connection_->quiet();
+    return queries_.empty() && !large_ && connection_->held() == 0 && connection_->quiet();
 }
 
 bool Session::between_requests() const { return state_ == State::open && is_silent(); }
@@ -114,14 +125,15 @@
     read_all();
     if (input_is_held() && !look_.is_set()) look_whether_left(kNextLook);
     // Each session keeps within its own bound; this guards the memory against all of them at once.
-    if (state_ == State::open && !request_ && office_.account.over() && connection_->held() > kFairShare)
+    if (state_ == State::open && queries_.empty() && office_.account.over() &&
+        connection_->held() > kFairShare)
         end_with(pgwire::code::kOutOfMemory, "too much is waiting to be read");
 }
 
 void Session::drained() {
     if (state_ == State::finishing) return linger();
-    if (source_) {
-        source_->hold(false);
+    if (passes_on()) {
+        queries_.front()->source->hold(false);
         return renew_limit();
     }
     read_all();
@@ -140,13 +152,14 @@
             end_with(pgwire::code::kProtocolViolation, error.what());
     }
     reading_ = false;
-    if (input_over_ && !request_ && !go_on_.is_set() && state_ != State::closed) finish();
+    if (input_over_ && queries_.empty() && !go_on_.is_set() && state_ != State::closed) finish();
     renew_limit();
 }
 
 bool Session::read_one() {
-    if (request_ || (state_ != State::startup && state_ != State::open)) return false;
+    if (state_ != State::startup && state_ != State::open) return false;
     if (connection_->unwritten() > kMostUnwritten) return false;  // goes on once drained
+    if (!queries_.empty() && !next_overlaps()) return false;
     if (large_) return read_large(0);
     if (state_ == State::open) {
         const auto size = pgwire::size_of_next(connection_->unread(pgwire::kHead), longest);
@@ -171,6 +184,24 @@
     return true;
 }
 
+// PostgreSQL runs the queries of a connection one after the other. What may run beside those before it must
+// not be told apart from that: it and they are reads. Anything else, and what is wrong, waits for its turn.
+bool Session::next_overlaps() {
+    if (large_ || skip_to_sync_ || queries_.size() >= kMostOpen || office_.account.over()) return false;
+    const auto overlaps = [this](int klass) {
+        return klass >= 0 && office_.class_overlaps[static_cast<std::size_t>(klass)];
+    };
+    if (!overlaps(queries_.back()->klass)) return false;  // then none before it is another
+    try {
+        const auto size = pgwire::size_of_next(connection_->unread(pgwire::kHead), longest);
+        if (!size || *size > kBehindRequest || connection_->held() < *size) return false;
+        const auto m = pgwire::next_message(connection_->unread(*size), longest);
+        return m && m->type == 'Q' && overlaps(class_of(pgwire::Fields(m->body).text()));
+    } catch (const pgwire::BadMessage&) {
+        return false;
+    }
+}
+
 // Its size is reserved before its body is read; until then it waits in the kernel.
 bool Session::read_large(std::size_t size) {
     if (!large_) {
@@ -213,7 +244,7 @@
         if (limit_.is_set() && connection_->sent() == taken_) return;
         taken_ = connection_->sent();
         at = now + kTakesNothing;
-    } else if (request_ || waits_for_room_)
+    } else if (!queries_.empty() || waits_for_room_)
         return limit_.clear();
     else if (large_)
         at = read_at_ + kNextPart;
@@ -302,11 +333,11 @@
         Builder(out).empty_query().ready();
         return reply(out);
     }
-    klass_ = -1;
     if (turned_away_) {
-        klass_ = class_of(statement);
-        return refused(kBusyAdvice);
+        refuse(class_of(statement), kBusyAdvice);
+        return finish();
     }
+    auto q = std::make_unique<Query>(*this);
     traffic::Request request;
     auto& a = request.arrival;
     auto kept = std::make_shared<traffic::Statement>();
@@ -318,9 +349,9 @@
         const auto klass = std::find(names.begin(), names.end(), tags.klass);
         if (klass == names.end())
             return say_error(pgwire::code::kInvalidParameter, "unknown class " + std::string(tags.klass));
-        klass_ = static_cast<int>(klass - names.begin());
+        q->klass = static_cast<int>(klass - names.begin());
         if (!office_.dispatcher.knows_group(tags.cluster)) {
-            office_.numbers.answered(klass_, numbers::Numbers::shed);
+            office_.numbers.answered(q->klass, numbers::Numbers::shed);
             Builder(out)
                 .error("ERROR", pgwire::code::kCannotConnectNow, "no member of this cluster is known",
                        milliseconds(kBusyAdvice))
@@ -328,7 +359,7 @@
             return reply(out);
         }
         kept->left_at = tags.left_at, kept->left_size = tags.left_size;
-        a.klass = klass_;
+        a.klass = q->klass;
         a.group = tags.cluster;
         // Its client counts from when it has sent it, also what it waits for the answers before it. Where
         // nothing is left of that, members turn it away as over; it is told at once, and what comes behind
@@ -336,8 +367,8 @@
         const Time now = office_.deadlines.now();
         a.not_after = asked_at_ + tags.left_ms * 1000;
         if (a.not_after <= now) {
-            office_.numbers.given_up(klass_, nettletrestle::Cause::out_of_time);
-            return refused(0);
+            office_.numbers.given_up(q->klass, nettletrestle::Cause::out_of_time);
+            return refuse(q->klass, 0);
         }
         a.repeat = tags.repeat;
         if (office_.sessions_named) a.session = hash(tags.quoted);
@@ -345,16 +376,18 @@
             a.last_write_age_us = std::max<Micros>(1, now - *tags.after_ms * 1000);
         // Two requests of one name cannot be told apart by a member that drops repeats.
         if (!office_.open_ids.emplace(tags.id).second) {
-            office_.numbers.answered(klass_, numbers::Numbers::errors);
+            office_.numbers.answered(q->klass, numbers::Numbers::errors);
             return say_error(pgwire::code::kInvalidParameter, "a request of this id is open already");
         }
-        id_ = tags.id;
+        q->id = tags.id;
     } catch (const pgwire::BadMessage& error) {
         return say_error(pgwire::code::kInvalidParameter, error.what());
     }
     request.statement = std::move(kept);
     connection_->bound_unread(kBehindRequest);
-    request_ = office_.dispatcher.take(std::move(request), *this);
+    queries_.push_back(std::move(q));
+    auto& last = *queries_.back();
+    last.request = office_.dispatcher.take(std::move(request), last);
 }
 
 // The class it names, as far as that can be read; for the figures.
@@ -368,9 +401,36 @@
     }
 }
 
-void Session::give_back_id() {
-    if (!id_.empty()) office_.open_ids.erase(id_);
-    id_.clear();
+// It waits for nothing more; returns the number by which it did, 0 where it did not.
+traffic::RequestId Session::let_go(Query& query) {
+    if (!query.id.empty()) office_.open_ids.erase(query.id);
+    query.id.clear();
+    return std::exchange(query.request, 0);
+}
+
+void Session::withdraw(Query& query) {
+    query.source = nullptr;
+    if (const auto request = let_go(query)) office_.dispatcher.withdraw(request);
+}
+
+void Session::withdraw_all() {
+    for (auto& q : queries_) {
+        take_kept(*q);
+        withdraw(*q);
+    }
+    queries_.clear();
+}
+
+// Answers that wait count as bytes held for clients.
+void Session::keep(Query& query, std::string bytes) {
+    SLOESTACK_INVARIANT(query.kept.empty(), "a query has one answer");
+    office_.account.add(bytes.size());
+    query.kept = std::move(bytes);
+}
+
+std::string Session::take_kept(Query& query) {
+    office_.account.remove(query.kept.size());
+    return std::exchange(query.kept, {});
 }
 
 // ---- the end ----
@@ -381,26 +441,26 @@
     input_over_ = true;
     if (state_ == State::finishing) return connection_->unwritten() > 0 ? void() : close();
     read_all();
-    if (request_ && state_ != State::closed) look_whether_left(kFirstLook);
+    if (!queries_.empty() && state_ != State::closed) look_whether_left(kFirstLook);
 }
 
 // Input that waits behind an open request is not read: an end or a reset behind it shows by a look alone.
 bool Session::input_is_held() const {
-    return request_ && state_ == State::open && connection_->held() >= kBehindRequest;
+    return !queries_.empty() && state_ == State::open && connection_->held() >= kBehindRequest;
 }
 
 // Not amid an answer in pieces: nothing may stand between those, and who has left shows as they are written.
 void Session::look_whether_left(Micros from_now) {
-    if (source_) return;
+    if (passes_on()) return;
     if (!told_of_end_ && (input_over_ || connection_->peer_has_ended())) {
         told_of_end_ = true;
         std::string out;
         Builder(out).notice("input has ended; the answer still comes");
-        reply(out);
+        connection_->write(out);
     }
     look_.set(office_.deadlines, office_.deadlines.now() + from_now, [this] {
         if (!connection_->healthy()) return close();
-        if (request_ && (input_over_ || input_is_held())) look_whether_left(kNextLook);
+        if (!queries_.empty() && (input_over_ || input_is_held())) look_whether_left(kNextLook);
     });
 }
 
@@ -411,15 +471,16 @@
     return true;
 }
 
-// The client waits no more for what it asked, and goes on with the connection. An answer that has begun goes
-// on as well: it cannot be taken back.
+// The client waits no more for what it asked first, and goes on with the connection. An answer that has begun
+// goes on as well: it cannot be taken back.
 void Session::cancel() {
-    if (!request_ || source_ || state_ != State::open) return;
-    office_.dispatcher.withdraw(std::exchange(request_, 0));
-    office_.numbers.answered(klass_, numbers::Numbers::errors);
+    if (queries_.empty() || passes_on() || state_ != State::open) return;
+    auto& first = *queries_.front();
+    withdraw(first);
+    office_.numbers.answered(first.klass, numbers::Numbers::errors);
     std::string out;
     Builder(out).error("ERROR", pgwire::code::kQueryCanceled, "canceled at the client's request").ready();
-    answered(out);
+    answered(first, std::move(out));
 }
 
 // The one way in which a client's connection ends while it is whole, a lingering close: what is written
@@ -430,6 +491,7 @@
 void Session::finish() {
     if (state_ == State::closed || state_ == State::finishing) return;
     state_ = State::finishing;
+    withdraw_all();
     office_.room.leave(this);
     large_.reset();
     look_.clear();
@@ -460,13 +522,17 @@
 }
 
 void Session::abandon() {
-    if (request_) {
-        office_.dispatcher.withdraw(std::exchange(request_, 0));
-        give_back_id();
-        office_.numbers.answered(klass_, numbers::Numbers::errors);
-        // Of a begun answer the client can tell by the end alone that it is not whole.
-        if (!std::exchange(source_, nullptr))
-            say_error(pgwire::code::kAdminShutdown, "the proxy is stopping");
+    // Of a begun answer the client can tell by the end alone that it is not whole; nothing can follow it.
+    const bool amid_an_answer = passes_on();
+    for (auto& q : queries_) {
+        auto bytes = take_kept(*q);
+        if (q->request) {
+            withdraw(*q);
+            office_.numbers.answered(q->klass, numbers::Numbers::errors);
+            bytes.clear();
+            Builder(bytes).error("ERROR", pgwire::code::kAdminShutdown, "the proxy is stopping").ready();
+        }
+        if (!amid_an_answer) connection_->write(bytes);
     }
     finish();
 }
@@ -474,26 +540,28 @@
 void Session::close() {
     if (state_ == State::closed) return;
     state_ = State::closed;
-    source_ = nullptr;
+    withdraw_all();
     office_.room.leave(this);
     large_.reset();
     limit_.clear();
     look_.clear();
     go_on_.clear();
-    give_back_id();
-    if (request_) office_.dispatcher.withdraw(std::exchange(request_, 0));
     connection_.reset();
     slot_ = net::Slot();
     owner_.over(*this);
 }
 
 // ---- answering ----
-void Session::reply(const std::string& bytes) { connection_->write(bytes); }
+void Session::reply(std::string bytes) {
+    if (queries_.empty()) return connection_->write(bytes);
+    queries_.push_back(std::make_unique<Query>(*this));
+    keep(*queries_.back(), std::move(bytes));
+}
 
 void Session::say_error(std::string_view sqlstate, std::string_view what) {
     std::string out;
     Builder(out).error("ERROR", sqlstate, what).ready();
-    reply(out);
+    reply(std::move(out));
 }
 
 void Session::end_with(std::string_view sqlstate, std::string_view what) {
@@ -503,21 +571,40 @@
     finish();
 }
 
-void Session::answered(const std::string& bytes) {
-    request_ = 0;
-    give_back_id();
-    look_.clear();
+void Session::answered(Query& query, std::string bytes) {
+    let_go(query);
+    query.source = nullptr;
+    if (!is_first(query)) return keep(query, std::move(bytes));
+    connection_->write(bytes);
+    queries_.pop_front();
+    next_answer();
+}
+
+// The first has been answered: what waited for that alone leaves.
+void Session::next_answer() {
     answered_at_ = office_.deadlines.now();
+    while (!queries_.empty() && !queries_.front()->request) {
+        connection_->write(take_kept(*queries_.front()));
+        queries_.pop_front();
+    }
+    if (!queries_.empty()) {
+        read_all();
+        if (!passes_on()) return;
+        auto& first = *queries_.front();
+        connection_->write(take_kept(first));
+        renew_limit();
+        return first.source->hold(false);  // last: its bytes come at once, and its end may
+    }
+    look_.clear();
     connection_->bound_unread(kMostUnread);
-    reply(bytes);
     // A stopping proxy ends connections between requests only: guards against losing a query that was sent
     // right behind the one just answered.
-    if (turned_away_ || ((office_.closing || office_.quota.over()) && between_requests())) return finish();
+    if ((office_.closing || office_.quota.over()) && between_requests()) return finish();
     read_all();
 }
 
-void Session::served(const traffic::Value& value) {
-    office_.numbers.answered(klass_, numbers::Numbers::ok);
+void Session::served(Query& query, const traffic::Value& value) {
+    office_.numbers.answered(query.klass, numbers::Numbers::ok);
     std::string out;
     out.reserve(value.bytes.size() + 128);
     const auto row = value.null ? std::nullopt : std::optional<std::string_view>(value.bytes);
@@ -526,55 +613,63 @@
         .data_row(row)
         .complete(value.tag)
         .ready();
-    answered(out);
+    answered(query, std::move(out));
 }
 
-void Session::begun(const traffic::Value& head, std::size_t size, traffic::Source& source) {
+void Session::begun(Query& query, const traffic::Value& head, std::size_t size, traffic::Source& source) {
     std::string out;
     Builder(out).row_description(head.column, head.type, head.binary).data_row_head(size);
-    reply(out);
-    source_ = &source;
+    query.source = &source;
+    if (!is_first(query)) {
+        source.hold(true);
+        return keep(query, std::move(out));
+    }
+    connection_->write(out);
     renew_limit();
 }
 
 // The client's kernel and a window are ahead of what it reads; beyond that the member's side waits.
-void Session::piece(std::string_view bytes) {
+void Session::piece(Query& query, std::string_view bytes) {
+    if (!SLOESTACK_INVARIANT(is_first(query), "a source that is held gives nothing")) return;
     connection_->write(bytes);
-    if (connection_->unwritten() > (office_.account.over() ? 0 : kWindow)) source_->hold(true);
+    if (connection_->unwritten() > (office_.account.over() ? 0 : kWindow)) query.source->hold(true);
     renew_limit();
 }
 
-void Session::finished(const std::string& tag) {
-    source_ = nullptr;
-    office_.numbers.answered(klass_, numbers::Numbers::ok);
+void Session::finished(Query& query, const std::string& tag) {
+    office_.numbers.answered(query.klass, numbers::Numbers::ok);
     std::string out;
     Builder(out).complete(tag).ready();
-    answered(out);
+    answered(query, std::move(out));
 }
 
-// The end of the connection is how the client can tell.
-void Session::cut_off() {
-    source_ = nullptr;
-    office_.numbers.answered(klass_, numbers::Numbers::errors);
-    request_ = 0;
-    give_back_id();
+// The end of the connection is how the client can tell, where any of it has left.
+void Session::cut_off(Query& query) {
+    if (!is_first(query)) {
+        take_kept(query);
+        return failed(query);
+    }
+    office_.numbers.answered(query.klass, numbers::Numbers::errors);
+    let_go(query);
     finish();
 }
 
-void Session::refused(Micros retry_after) {
-    office_.numbers.answered(klass_, numbers::Numbers::shed);
-    std::string out;
-    Builder(out)
-        .error("ERROR", pgwire::code::kTooManyConnections, "not now", milliseconds(retry_after))
-        .ready();
-    answered(out);
+void Session::refused(Query& query, Micros retry_after) {
+    office_.numbers.answered(query.klass, numbers::Numbers::shed);
+    answered(query, refusal(retry_after));
+}
+
+void Session::refuse(int klass, Micros retry_after) {
+    office_.numbers.answered(klass, numbers::Numbers::shed);
+    reply(refusal(retry_after));
+    if (!queries_.empty()) queries_.back()->klass = klass;
 }
 
-void Session::failed() {
-    office_.numbers.answered(klass_, numbers::Numbers::errors);
+void Session::failed(Query& query) {
+    office_.numbers.answered(query.klass, numbers::Numbers::errors);
     std::string out;
     Builder(out).error("ERROR", pgwire::code::kSystemError, "no member has answered in time").ready();
-    answered(out);
+    answered(query, std::move(out));
 }
 
 }  // namespace sloestack::clients
--- a/src/front/clients/session.h
+++ b/src/front/clients/session.h
@@ -1,8 +1,9 @@
-// One client's connection: reads its queries one after the other and answers each before the next is read,
-// so that answers leave in the order of the questions.
+// One client's connection: reads its queries and answers them in their order. Reads that stand behind reads
+// are begun while those before them are open; their answers wait for their turn.
 #pragma once
 
 #include <algorithm>
+#include <deque>
 #include <limits>
 #include <memory>
 #include <optional>
@@ -53,7 +54,8 @@
     net::Quota& lingering;  // of connections that have ended on this side
     numbers::Numbers& numbers;
     std::vector<std::string> class_names;
-    bool sessions_named = false;  // some class reads what its session has written
+    std::vector<bool> class_overlaps;  // a read, safe to repeat: may run beside other such of its connection
+    bool sessions_named = false;       // some class reads what its session has written
     CancelKeys keys{0};
     bool closing = false;                                  // sessions end after their next answer
     Time linger_until = std::numeric_limits<Time>::max();  // for a client to end as well
@@ -69,7 +71,7 @@
     ~SessionOwner() = default;
 };
 
-class Session final : public net::ConnectionEvents, private traffic::ResponseSink {
+class Session final : public net::ConnectionEvents {
 public:
     Session(Office& office, SessionOwner& owner, evutil_socket_t fd, net::Slot slot, bool turned_away);
     ~Session();
@@ -101,12 +103,42 @@
 private:
     enum class State { startup, open, finishing, closed };
 
+    // What the client has asked and has no answer to yet. The answer of the first one passes straight to the
+    // client; that of another is kept until those before it have had theirs.
+    struct Query final : traffic::ResponseSink {
+        explicit Query(Session& of) : session(of) {}
+        void served(const traffic::Value& value) override { session.served(*this, value); }
+        void begun(const traffic::Value& head, std::size_t size, traffic::Source& from) override {
+            session.begun(*this, head, size, from);
+        }
+        void piece(std::string_view bytes) override { session.piece(*this, bytes); }
+        void finished(const std::string& tag) override { session.finished(*this, tag); }
+        void cut_off() override { session.cut_off(*this); }
+        void refused(Micros retry_after) override { session.refused(*this, retry_after); }
+        void failed() override { session.failed(*this); }
+        bool has_left() override { return session.has_left(); }
+
+        Session& session;
+        traffic::RequestId request = 0;  // 0 once it is answered
+        int klass = -1;
+        std::string id;                     // the client's name for it
+        std::string kept;                   // the answer, or its head, that waits for those before
+        traffic::Source* source = nullptr;  // of an answer that is passed on in pieces
+    };
+
     void read_all();
     bool read_one();  // false where there is nothing more to read now
+    bool next_overlaps();
     void renew_limit();
     void out_of_time();
     int class_of(std::string_view statement) const;
-    void give_back_id();
+    traffic::RequestId let_go(Query& query);
+    void withdraw(Query& query);
+    void withdraw_all();
+    void keep(Query& query, std::string bytes);
+    std::string take_kept(Query& query);
+    bool is_first(const Query& query) const { return queries_.front().get() == &query; }
+    bool passes_on() const { return !queries_.empty() && queries_.front()->source; }
     void start_up(std::string_view body);
     bool read_large(std::size_t size);
     bool is_silent() const;  // nothing of the client's is here or in the kernel, and it may be spoken to
@@ -116,19 +148,21 @@
     void look_whether_left(Micros from_now);
     void linger();
     void last_words_stand();
-    void reply(const std::string& bytes);
+    void reply(std::string bytes);  // behind the answers to what was asked before
     void end_with(std::string_view sqlstate, std::string_view what);
-    void answered(const std::string& bytes);
+    void answered(Query& query, std::string bytes);
+    void next_answer();
     void say_error(std::string_view sqlstate, std::string_view what);
 
-    void served(const traffic::Value& value) override;
-    void begun(const traffic::Value& head, std::size_t size, traffic::Source& source) override;
-    void piece(std::string_view bytes) override;
-    void finished(const std::string& tag) override;
-    void cut_off() override;
-    void refused(Micros retry_after) override;
-    void failed() override;
-    bool has_left() override;
+    void served(Query& query, const traffic::Value& value);
+    void begun(Query& query, const traffic::Value& head, std::size_t size, traffic::Source& source);
+    void piece(Query& query, std::string_view bytes);
+    void finished(Query& query, const std::string& tag);
+    void cut_off(Query& query);
+    void refused(Query& query, Micros retry_after);
+    void refuse(int klass, Micros retry_after);  // what was never handed in
+    void failed(Query& query);
+    bool has_left();
 
     Office& office_;
     SessionOwner& owner_;
@@ -147,12 +181,9 @@
     };
     std::optional<Large> large_;
     bool waits_for_room_ = false;
-    traffic::Source* source_ = nullptr;  // of the answer that is passed on in pieces
-    std::uint64_t taken_ = 0;            // bytes the client had taken when the limit was set
-    bool asked_ = false;                 // it has sent a query since it came
-    traffic::RequestId request_ = 0;
-    int klass_ = -1;  // of the request asked last
-    std::string id_;  // the client's name for the open request
+    std::deque<std::unique_ptr<Query>> queries_;  // in their order, kMostOpen at most
+    std::uint64_t taken_ = 0;                     // bytes the client had taken when the limit was set
+    bool asked_ = false;                          // it has sent a query since it came
     Time came_at_, read_at_ = 0, begun_at_ = 0, answered_at_ = 0;
     ArrivalTimes arrivals_;
     Time asked_at_ = 0;  // when the last byte came of the message read last
--- a/tests/net/world.h
+++ b/tests/net/world.h
@@ -119,6 +119,18 @@
                 b.row_description("data", 25, true).data_row("v").complete("SELECT 1").ready();
             }));
     }
+    // Only the one that asks for this id.
+    void answer(const std::string& id) {
+        look();
+        for (auto it = open_.begin(); it != open_.end(); ++it)
+            if (it->second == id) {
+                it->first->send(text([&](auto& b) {
+                    b.row_description("data", 25, true).data_row(id + "!").complete("SELECT 1").ready();
+                }));
+                open_.erase(it);
+                return;
+            }
+    }
     void answer_half() {
         for (auto& [peer, id] : open_) peer->send(text([](auto& b) { b.row_description("data", 25, true); }));
     }
