--- a/tests/net/world.h
+++ b/tests/net/world.h
@@ -69,6 +69,7 @@
     int member;
     std::string id;
     Time at;
+    Micros left;  // of its time, as the member is told
 };
 
 class World {
@@ -90,11 +91,11 @@
         const auto statement = request(klass);
         if (!client.send(statement)) --asked;  // it has ended its own side
     }
-    std::string request(const char* klass) {
+    std::string request(const char* klass, Micros deadline = kDeadline) {
         const auto id = "r" + std::to_string(++asked);
         return text([&](auto& b) {
             b.query("SELECT data FROM facts WHERE code = 'x' /* id=" + id + ",c=" + klass +
-                    ",d=" + std::to_string(kDeadline / 1000) + ",k=" + id + ",cluster=0 */");
+                    ",d=" + std::to_string(deadline / 1000) + ",k=" + id + ",cluster=0 */");
         });
     }
     // Asks the client's first request and has it served.
@@ -112,6 +113,18 @@
                 b.row_description("data", 25, true).data_row("v").complete("SELECT 1").ready();
             }));
     }
+    // Only the one that asks for this id.
+    void answer(const std::string& id) {
+        look();
+        for (auto it = open_.begin(); it != open_.end(); ++it)
+            if (it->second == id) {
+                it->first->send(text([&](auto& b) {
+                    b.row_description("data", 25, true).data_row(id + "!").complete("SELECT 1").ready();
+                }));
+                open_.erase(it);
+                return;
+            }
+    }
     void answer_half() {
         for (auto& [peer, id] : open_) peer->send(text([](auto& b) { b.row_description("data", 25, true); }));
     }
@@ -250,9 +263,11 @@
         while (const auto m = pgwire::next_message(p.in)) {
             if (m->type == 'Q') {
                 const std::string statement(pgwire::Fields(m->body).text());
-                const auto from = statement.find("id=") + 3;
-                queries.push_back(
-                    {number, statement.substr(from, statement.find(',', from) - from), clock.at});
+                const auto tag = [&statement](const char* name) {
+                    const auto from = statement.find(name) + std::string_view(name).size();
+                    return statement.substr(from, statement.find(',', from) - from);
+                };
+                queries.push_back({number, tag("id="), clock.at, std::stol(tag(",d=")) * 1000});
                 open_[&p] = queries.back().id;
             }
             p.in.erase(0, m->size);
