Give a held call's connection the time of any call to come up

Seen by reading: since the times of calls are the schedule's, a held call behind an answer that closed its connection was given 0.6 s to connect (give-up less hold), under one lost SYN's second; 1.2 to 1.8 s before. Now it is the patience, 2.3 s, within the chain of beginnings (3.5 s).

--- a/src/fleet/discovery/watch.cpp
+++ b/src/fleet/discovery/watch.cpp
@@ -50,8 +50,8 @@
     reused_ = connection_ != nullptr;
     if (connection_) return write_call();
     up_ = false;
-    patience_.set(deadlines_, begun_at_ + next_.give_up - next_.hold,
-                  [this] { failed("cannot connect in time"); });
+    const auto connected_by = begun_at_ + std::min(next_.give_up, nettletrestle::route::Calls::kPatience);
+    patience_.set(deadlines_, connected_by, [this] { failed("cannot connect in time"); });
     connection_ = net::Connection::open(loop_, at_, kMostUnread, *this);
     if (!connection_) failed("no socket");
 }
