--- a/tests/calls_test.cpp
+++ b/tests/calls_test.cpp
@@ -134,7 +134,8 @@
     for (const int routers : {1, 300}) {
         Calls c(pushed(routers));
         EXPECT_EQ(c.first(kHighest), 1);
-        for (const auto& fate : kFates) EXPECT_LE(c.failed(fate, kHighest), Calls::kPushedBackOff);
+        for (int i = 0; i < 10; ++i)
+            for (const auto& fate : kFates) EXPECT_LE(c.failed(fate, kHighest), Calls::kPushedBackOff);
         EXPECT_EQ(watching(pushed(routers)).next().hold, watching(of(1)).next().hold);
     }
 }
