--- a/src/app/server/server.cpp
+++ b/src/app/server/server.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr Micros kReportIntervalUs = 10'000'000;
+constexpr Micros kLoggedDelayUs = 100'000;
 #ifdef NDEBUG
 constexpr bool kIsDebugBuild = false;
 #else
@@ -156,8 +157,10 @@
 
 // ---- Event loop ----
 void Server::run_iteration(Micros max_wait_us) {
-    if (const auto next = deadlines_.next()) max_wait_us = std::min(max_wait_us, *next - deadlines_.now());
+    const Time began_at = deadlines_.now();
+    if (const auto next = deadlines_.next()) max_wait_us = std::min(max_wait_us, *next - began_at);
     loop_.run_once(max_wait_us);
+    record_lateness(began_at + std::max<Micros>(0, max_wait_us));
     dispatch_loop_.run_iteration();
     // Where lists are pushed, clients are accepted once the
     // first poll of the local agent has succeeded or failed.
@@ -168,6 +171,13 @@
     loop_.end_iteration();
 }
 
+void Server::record_lateness(Time due_at) {
+    const Micros delay = deadlines_.now() - due_at;
+    if (delay < kLoggedDelayUs) return;
+    client_listener_->session_metrics().count_late_iteration(delay);
+    log::line("event loop late", std::to_string(delay / kMicrosPerMillisecond) + " ms");
+}
+
 void Server::handle_signals(std::function<config::Config()> load) {
     for (const int signal : {SIGTERM, SIGINT}) loop_.on_signal(signal, [this] { stop(); });
     loop_.on_signal(SIGHUP, [this, load = std::move(load)] {
@@ -208,7 +218,12 @@
     // Deployments without an admin server read the metrics from the log.
     if (metrics_.total() != logged_total_) {
         logged_total_ = metrics_.total();
-        log::line("metrics", metrics_json());
+        log::json_line("metrics", metrics_json());
+    }
+    const auto& sessions = client_listener_->session_metrics();
+    if (sessions.total() != logged_session_total_) {
+        logged_session_total_ = sessions.total();
+        log::json_line("sessions", sessions.to_json());
     }
     report_timer_.set(deadlines_, deadlines_.now() + kReportIntervalUs, [this] { report(); });
 }
--- a/src/app/server/server.h
+++ b/src/app/server/server.h
@@ -49,6 +49,8 @@
     // Logs newly broken invariants and changed metrics, and schedules its next run.
     void report();
     void log_table_sizes() const;
+    // Logs an event loop that could not run in time.
+    void record_lateness(Time due_at);
     std::unique_ptr<discovery::DiscoveryWatch> make_discovery_watch(const config::Config& config);
     std::unique_ptr<downstream::ClientListener> make_client_listener(const config::Config& config);
     // Sends the update to the other processes of this proxy. Calls `done` as
@@ -96,7 +98,8 @@
     std::unique_ptr<admin::AdminServer> admin_server_;
     std::unique_ptr<hot_restart::HotRestart> hot_restart_;
     Deadline report_timer_;
-    std::uint64_t logged_total_ = 0;  // RequestMetrics::total() when the metrics were last logged
+    std::uint64_t logged_total_ = 0;          // RequestMetrics::total() when the metrics were last logged
+    std::uint64_t logged_session_total_ = 0;  // SessionMetrics::total(), likewise
 };
 
 }  // namespace sloestack::server
--- a/src/base/deadlines/clock.h
+++ b/src/base/deadlines/clock.h
@@ -11,6 +11,8 @@
 using decision::Micros;
 using decision::Time;
 
+constexpr Micros kMicrosPerMillisecond = 1000;
+
 class Clock {
 public:
     Clock() = default;
--- a/src/downstream/sessions/client_listener.cpp
+++ b/src/downstream/sessions/client_listener.cpp
@@ -1,6 +1,7 @@
 #include "sessions/client_listener.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "log/log.h"
 
@@ -9,6 +10,7 @@
 
 constexpr Micros kAcceptRetryDelayUs = 20'000;  // while no descriptor is free
 constexpr Micros kDescriptorWarningIntervalUs = 1'000'000;
+constexpr Micros kLoggedPauseUs = 100'000;
 
 // Idle sessions may use the clients' quota divided by kIdleQuotaDivisor; beyond that, sessions are closed
 // that have been idle for kExcessIdleTimeoutUs.
@@ -78,7 +80,7 @@
         const bool is_long_idle = session.has_sent_query() &&
                                   session.last_active_at() <= now - kExcessIdleTimeoutUs && session.is_idle();
         if (is_long_idle) {
-            session.finish();
+            session.finish(metrics::SessionEnd::idle);
             --idle_count;
         }
         return true;
@@ -100,6 +102,7 @@
 
 void ClientListener::on_accepted(evutil_socket_t fd) {
     last_accepted_at_ = deadlines_.now();
+    context_.session_metrics.count_accepted();
     auto slot = client_quota_.acquire();
     if (!slot && close_one_idle_session()) slot = client_quota_.acquire();
     const bool reject_requests = !slot;
@@ -117,14 +120,41 @@
     const Time now = deadlines_.now();
     if (now - last_warning_at_ > kDescriptorWarningIntervalUs) {
         last_warning_at_ = now;
-        log::line("out of descriptors", std::to_string(sessions_.size()) + " clients");
+        log_descriptor_use();
     }
     if (!listener_) return;
+    if (!accepting_paused_at_) accepting_paused_at_ = now;
     listener_->pause();
-    resume_accepting_.set(deadlines_, now + kAcceptRetryDelayUs, [this] {
-        if (client_quota_.is_full() && overflow_quota_.is_full()) return pause_accepting();
-        if (listener_) listener_->resume();
-    });
+    resume_accepting_.set(deadlines_, now + kAcceptRetryDelayUs, [this] { resume_accepting(); });
+}
+
+void ClientListener::resume_accepting() {
+    if (client_quota_.is_full() && overflow_quota_.is_full()) return pause_accepting();
+    const Micros paused_for = deadlines_.now() - std::exchange(accepting_paused_at_, 0);
+    context_.session_metrics.count_accept_pause(paused_for);
+    if (paused_for >= kLoggedPauseUs)
+        log::line("accepting resumed", "after " + std::to_string(paused_for / kMicrosPerMillisecond) + " ms");
+    if (listener_) listener_->resume();
+}
+
+void ClientListener::log_descriptor_use() {
+    log::line("out of descriptors", std::to_string(sessions_.size()) + " clients");
+    int without_query = 0;
+    int idle = 0;
+    int lingering = 0;
+    for (const auto& session : sessions_) {
+        if (session->is_lingering())
+            ++lingering;
+        else if (session->is_idle())
+            ++idle;
+        else if (!session->has_sent_query())
+            ++without_query;
+    }
+    log::line("descriptors in use", std::to_string(client_quota_.in_use()) + " served, " +
+                                        std::to_string(overflow_quota_.in_use()) + " rejected, " +
+                                        std::to_string(lingering) + " lingering; idle " +
+                                        std::to_string(idle) + ", started no query " +
+                                        std::to_string(without_query));
 }
 
 // Closes a session that has sent no query, or else the one that has been idle for longest: hundreds of
@@ -134,7 +164,7 @@
     for (const auto may_close : {&ClientSession::is_idle_before_first_query, &ClientSession::is_idle}) {
         for (auto& session : sessions_) {
             if ((session.get()->*may_close)()) {
-                session->finish();
+                session->finish(metrics::SessionEnd::displaced);
                 return true;
             }
         }
@@ -147,7 +177,7 @@
     const auto oldest = std::find_if(sessions_.begin(), sessions_.end(),
                                      [](const auto& session) { return session->is_lingering(); });
     if (oldest == sessions_.end()) return false;
-    (*oldest)->close();
+    (*oldest)->close(metrics::SessionEnd::displaced);
     return true;
 }
 
@@ -156,7 +186,7 @@
     for_each_session([&](ClientSession& session) {
         if (excess <= 0) return false;
         if (session.is_idle()) {
-            session.finish();
+            session.finish(metrics::SessionEnd::displaced);
             --excess;
         }
         return true;
@@ -189,10 +219,10 @@
     if (fail_all) stop_listening();
     for_each_session([&](ClientSession& session) {
         if (fail_all)
-            session.fail_requests_and_finish();
+            session.fail_requests_and_finish(metrics::SessionEnd::stopping);
         else if (session.is_between_requests() &&
                  (close_all || session.last_active_at() < now - kStopIdleTimeoutUs))
-            session.finish();
+            session.finish(metrics::SessionEnd::stopping);
         return true;
     });
     continue_stop_.set(deadlines_, now + kStopIntervalUs, [this] { continue_stop(); });
--- a/src/downstream/sessions/client_listener.h
+++ b/src/downstream/sessions/client_listener.h
@@ -49,12 +49,15 @@
     void shrink_to_quota();
     std::uint16_t port() const { return listener_->port(); }
     std::size_t session_count() const { return sessions_.size(); }
+    metrics::SessionMetrics& session_metrics() { return context_.session_metrics; }
 
 private:
     using Sessions = std::list<std::unique_ptr<ClientSession>>;
 
     void on_accepted(evutil_socket_t fd);
     void pause_accepting();
+    void resume_accepting();
+    void log_descriptor_use();
     bool close_one_idle_session();
     bool release_lingering_slot();
     void close_long_idle_sessions();
@@ -83,7 +86,8 @@
     bool has_successor_ = false;
     Time last_accepted_at_ = 0;
     Time last_warning_at_ = 0;
-    Time stopping_since_ = 0;  // 0 until stop() is called
+    Time accepting_paused_at_ = 0;  // 0 while accepting
+    Time stopping_since_ = 0;       // 0 until stop() is called
 };
 
 }  // namespace sloestack::downstream
--- a/src/downstream/sessions/client_session.cpp
+++ b/src/downstream/sessions/client_session.cpp
@@ -1,5 +1,7 @@
 #include "sessions/client_session.h"
 
+#include <utility>
+
 #include "pgwire/build.h"
 
 namespace sloestack::downstream {
@@ -57,12 +59,15 @@
 // ---- Reading ----
 void ClientSession::received() {
     if (state_ == State::finishing) return connection_->consume(connection_->unread_bytes());
+    const Micros age = connection_->input_age().value_or(0);
+    context_.session_metrics.count_request_read(age);
     framer_.on_bytes_received(context_.deadlines.now());
     read_messages();
     if (input_is_paused()) disconnect_detector_.on_input_paused();
     if (state_ == State::open && responses_.empty() && context_.account.is_exceeded() &&
         connection_->unread_bytes() > kUnreadBytesUnderPressure)
-        fail_session(pgwire::code::kOutOfMemory, "memory limit for buffered client input exceeded");
+        fail_session(metrics::SessionEnd::protocol_violation, pgwire::code::kOutOfMemory,
+                     "memory limit for buffered client input exceeded");
 }
 
 void ClientSession::drained() {
@@ -83,11 +88,13 @@
         if (messages_left == 0)
             resume_reading_.set(context_.deadlines, context_.deadlines.now(), [this] { read_messages(); });
     } catch (const pgwire::ProtocolError& error) {
-        if (!is_ending()) fail_session(pgwire::code::kProtocolViolation, error.what());
+        if (!is_ending())
+            fail_session(metrics::SessionEnd::protocol_violation, pgwire::code::kProtocolViolation,
+                         error.what());
     }
     is_reading_ = false;
     if (input_has_ended_ && responses_.empty() && !resume_reading_.is_set() && state_ != State::closed)
-        finish();
+        finish(metrics::SessionEnd::client_closed);
     renew_timeout();
 }
 
@@ -169,8 +176,9 @@
     disconnect_detector_.stop();
     connection_->set_max_unread_bytes(kMaxUnreadBytes);
     // Only between requests: a query may have been sent right after the one whose response was just written.
-    const bool should_close = context_.close_after_response || context_.client_quota.is_exceeded();
-    if (should_close && is_between_requests()) return finish();
+    const bool is_displaced = context_.client_quota.is_exceeded();
+    if ((context_.close_after_response || is_displaced) && is_between_requests())
+        return finish(is_displaced ? metrics::SessionEnd::displaced : metrics::SessionEnd::stopping);
     read_messages();
 }
 
@@ -198,35 +206,43 @@
 
 void ClientSession::on_timeout() {
     if (connection_->unwritten_bytes() > 0) {
-        if (timeouts_.write_has_stalled(connection_->sent_bytes())) return close();
+        if (timeouts_.write_has_stalled(connection_->sent_bytes()))
+            return close(metrics::SessionEnd::write_stalled);
         return renew_timeout();
     }
     if (state_ == State::open && framer_.has_partial_message())
-        return fail_session(pgwire::code::kProtocolViolation, "timed out waiting for the rest of a message");
+        return fail_session(metrics::SessionEnd::message_timeout, pgwire::code::kProtocolViolation,
+                            "timed out waiting for the rest of a message");
     // Input is pending in the kernel and about to be read: it may be a request.
     if (state_ == State::open && !is_between_requests()) return renew_timeout();
-    finish();
+    finish(has_sent_query_ ? metrics::SessionEnd::idle : metrics::SessionEnd::no_query);
 }
 
 // ---- Closing ----
 void ClientSession::ended(net::ConnectionEnd how) {
-    if (how == net::ConnectionEnd::error) return close();
+    if (how == net::ConnectionEnd::error) return close(metrics::SessionEnd::client_reset);
     input_has_ended_ = true;
     if (state_ == State::finishing) {
-        if (connection_->unwritten_bytes() == 0) close();
+        if (connection_->unwritten_bytes() == 0) close(metrics::SessionEnd::client_closed);
         return;
     }
     read_messages();
     if (!responses_.empty() && state_ != State::closed) disconnect_detector_.on_input_ended();
 }
 
-void ClientSession::fail_requests_and_finish() {
+void ClientSession::record_end(metrics::SessionEnd reason) {
+    if (std::exchange(end_is_recorded_, true)) return;
+    context_.session_metrics.count_end(reason);
+}
+
+void ClientSession::fail_requests_and_finish(metrics::SessionEnd reason) {
     responses_.fail_all();
-    finish();
+    finish(reason);
 }
 
-void ClientSession::finish() {
+void ClientSession::finish(metrics::SessionEnd reason) {
     if (is_ending()) return;
+    record_end(reason);
     state_ = State::finishing;
     responses_.discard_all();
     framer_.stop();
@@ -241,7 +257,8 @@
 
 void ClientSession::await_final_write() {
     timeouts_.await_write_progress(connection_->sent_bytes(), [this] {
-        if (timeouts_.write_has_stalled(connection_->sent_bytes())) return close();
+        if (timeouts_.write_has_stalled(connection_->sent_bytes()))
+            return close(metrics::SessionEnd::write_stalled);
         await_final_write();
     });
 }
@@ -253,12 +270,14 @@
     connection_->shutdown_write();
     // After the client's FIN no more input can arrive, so there is no need to linger. The close is deferred
     // because the owner may be iterating over its sessions.
-    if (input_has_ended_) return timeouts_.call_soon([this] { close(); });
-    timeouts_.await_close(context_.linger_deadline, [this] { close(); });
+    const auto close_lingering = [this] { close(metrics::SessionEnd::client_closed); };
+    if (input_has_ended_) return timeouts_.call_soon(close_lingering);
+    timeouts_.await_close(context_.linger_deadline, close_lingering);
 }
 
-void ClientSession::close() {
+void ClientSession::close(metrics::SessionEnd reason) {
     if (state_ == State::closed) return;
+    record_end(reason);
     state_ = State::closed;
     responses_.discard_all();
     framer_.stop();
--- a/src/downstream/sessions/client_session.h
+++ b/src/downstream/sessions/client_session.h
@@ -56,14 +56,14 @@
     Time last_active_at() const;
 
     // Responds to open requests with an error and calls finish().
-    void fail_requests_and_finish();
+    void fail_requests_and_finish(metrics::SessionEnd reason);
     // Starts a lingering close: sends all written bytes, then a FIN, and discards further input until the
     // client closes too or a time-out expires. Closing a socket with unread input would send a RST, on which
     // the client may lose the last response. Requests that arrive from now on get no response; the client may
     // send them again on another connection.
-    void finish();
+    void finish(metrics::SessionEnd reason);
     // Closes at once, for a failed connection or a lingering close that takes too long.
-    void close();
+    void close(metrics::SessionEnd reason);
     // Handles the client's CancelRequest, which arrives on another connection.
     void cancel();
 
@@ -77,14 +77,14 @@
     void response_progressed() override { renew_timeout(); }
     void response_written() override { read_messages(); }
     void all_responses_written() override;
-    void response_incomplete() override { finish(); }
+    void response_incomplete() override { finish(metrics::SessionEnd::response_cut); }
     bool client_disconnected() override { return disconnect_detector_.client_disconnected(); }
 
     bool input_has_ended() const override { return input_has_ended_; }
     bool input_is_paused() const override;
     bool waits_for_response() const override { return !responses_.empty(); }
     bool is_streaming_response() const override { return responses_.is_streaming(); }
-    void on_client_disconnected() override { close(); }
+    void on_client_disconnected() override { close(metrics::SessionEnd::client_reset); }
 
     void read_messages();
     // Each returns true if it has read a message and the next one may be read.
@@ -101,10 +101,11 @@
     void reject_statement(const StatementError& error);
     void reject_request(int request_class, Micros retry_after);
     void respond_with_error(std::string_view sqlstate, std::string_view message);
-    void fail_session(std::string_view sqlstate, std::string_view message);
+    void fail_session(metrics::SessionEnd reason, std::string_view sqlstate, std::string_view message);
 
     void renew_timeout();
     void on_timeout();
+    void record_end(metrics::SessionEnd reason);
     void await_final_write();
     void linger();
 
@@ -118,6 +119,7 @@
     bool is_reading_ = false;
     bool is_lingering_ = false;  // finishing, and the FIN has been sent
     bool has_sent_query_ = false;
+    bool end_is_recorded_ = false;
     CancelKey cancel_key_;
     Time message_arrived_at_ = 0;  // arrival of the last byte of the message read last
     StatementReader statements_;
--- a/src/downstream/sessions/client_session_messages.cpp
+++ b/src/downstream/sessions/client_session_messages.cpp
@@ -19,7 +19,7 @@
         // session.
         auto* session = context_.cancel_keys.find({startup.process, startup.secret});
         if (session) session->cancel();
-        return finish();
+        return finish(metrics::SessionEnd::cancel_request);
     }
     state_ = State::open;
     connection_->set_max_unread_bytes(kMaxUnreadBytes);
@@ -37,7 +37,7 @@
             return handle_query(std::string(text));
         }
         case 'X':
-            return finish();
+            return finish(metrics::SessionEnd::client_closed);
         case 'S':
             skip_to_sync_ = false;
             return responses_.respond(ready_for_query());
@@ -66,7 +66,7 @@
     }
     if (reject_requests_) {
         reject_request(statements_.request_class_of(text), kRetryAfterWhenBusyUs);
-        return finish();
+        return finish(metrics::SessionEnd::overloaded);
     }
     auto result = statements_.read(std::move(text), std::move(memory), message_arrived_at_);
     if (const auto* error = std::get_if<StatementError>(&result)) return reject_statement(*error);
@@ -109,9 +109,10 @@
     responses_.respond(error_response(sqlstate, message));
 }
 
-void ClientSession::fail_session(std::string_view sqlstate, std::string_view message) {
+void ClientSession::fail_session(metrics::SessionEnd reason, std::string_view sqlstate,
+                                 std::string_view message) {
     responses_.respond(fatal_error(sqlstate, message));
-    finish();
+    finish(reason);
 }
 
 }  // namespace sloestack::downstream
--- a/src/downstream/sessions/response_messages.cpp
+++ b/src/downstream/sessions/response_messages.cpp
@@ -7,7 +7,6 @@
 
 using pgwire::Builder;
 
-constexpr Micros kMicrosPerMillisecond = 1000;
 constexpr std::size_t kValueOverheadBytes = 128;  // of the messages around a value, to allocate once
 constexpr char kFunctionCall = 'F';
 
--- a/src/downstream/sessions/response_writer.cpp
+++ b/src/downstream/sessions/response_writer.cpp
@@ -1,6 +1,7 @@
 #include "sessions/response_writer.h"
 
 #include "invariant/invariant.h"
+#include "log/log.h"
 #include "pgwire/build.h"
 #include "sessions/response_messages.h"
 
@@ -17,6 +18,7 @@
 void ResponseWriter::submit(ParsedStatement statement) {
     auto query = std::make_unique<Query>(*this, statement.request.arrival.request_class);
     query->id = std::move(statement.id);
+    query->submitted_at = context_.deadlines.now();
     queries_.push_back(std::move(query));
     auto& last = *queries_.back();
     last.request = context_.dispatcher.submit(std::move(statement.request), last);
@@ -107,6 +109,18 @@
     complete(query, error_response(pgwire::code::kSystemError, "no endpoint responded in time"));
 }
 
+bool ResponseWriter::client_disconnected(const Query& query) {
+    if (!owner_.client_disconnected()) return false;
+    context_.session_metrics.count_dropped_request();
+    const Time now = context_.deadlines.now();
+    if (context_.dropped_request_lines.allows(now))
+        log::line("client disconnected",
+                  "request " + query.id + " gets no attempt, " +
+                      std::to_string((now - query.submitted_at) / kMicrosPerMillisecond) +
+                      " ms after it was read");
+    return true;
+}
+
 void ResponseWriter::complete(Query& query, std::string bytes) {
     detach_request(query);
     query.source = nullptr;
--- a/src/downstream/sessions/response_writer.h
+++ b/src/downstream/sessions/response_writer.h
@@ -78,12 +78,13 @@
         void on_value_aborted() override { writer.on_value_aborted(*this); }
         void on_rejected(Micros retry_after) override { writer.on_rejected(*this, retry_after); }
         void on_failed() override { writer.on_failed(*this); }
-        bool client_disconnected() override { return writer.owner_.client_disconnected(); }
+        bool client_disconnected() override { return writer.client_disconnected(*this); }
 
         ResponseWriter& writer;
         traffic::RequestId request = 0;  // 0 once it has its response or is cancelled
         int request_class;
         std::string id;  // of the request, given by the client
+        Time submitted_at = 0;
         // The response, or the head of a streamed one, until the responses before it are written.
         std::string buffered_response;
         traffic::ResponseSource* source = nullptr;  // of a streamed response
@@ -97,6 +98,7 @@
     void on_value_aborted(Query& query);
     void on_rejected(Query& query, Micros retry_after);
     void on_failed(Query& query);
+    bool client_disconnected(const Query& query);
 
     bool is_first(const Query& query) const { return queries_.front().get() == &query; }
     // Completes the query's response with `bytes`. Writes it and destroys the query if it is the first one,
--- a/src/downstream/sessions/session_context.h
+++ b/src/downstream/sessions/session_context.h
@@ -7,7 +7,9 @@
 #include <vector>
 
 #include "deadlines/deadlines.h"
+#include "log/rate_limit.h"
 #include "metrics/metrics.h"
+#include "metrics/session_metrics.h"
 #include "sessions/cancel_keys.h"
 #include "traffic/request.h"
 #include "transport/connection.h"
@@ -16,6 +18,9 @@
 
 namespace sloestack::downstream {
 
+constexpr int kMaxDroppedRequestLines = 10;
+constexpr Micros kDroppedRequestLineIntervalUs = 1'000'000;
+
 struct SessionContext {
     net::Loop& loop;
     Deadlines& deadlines;
@@ -35,6 +40,8 @@
     // The time by which any lingering close ends.
     Time linger_deadline = std::numeric_limits<Time>::max();
     std::unordered_set<std::string> open_request_ids = {};  // ids of requests that have no response yet
+    metrics::SessionMetrics session_metrics = {};
+    log::RateLimit dropped_request_lines{kMaxDroppedRequestLines, kDroppedRequestLineIntervalUs};
 };
 
 }  // namespace sloestack::downstream
--- a/src/downstream/sessions/statement_reader.cpp
+++ b/src/downstream/sessions/statement_reader.cpp
@@ -7,8 +7,6 @@
 namespace sloestack::downstream {
 namespace {
 
-constexpr Micros kMicrosPerMillisecond = 1000;
-
 // Hashes the name of a session to its id with 64-bit FNV-1a. Never returns 0, which means no session.
 std::uint64_t session_id_of(std::string_view name) {
     constexpr std::uint64_t kOffsetBasis = 14695981039346656037u;
--- a/src/net/transport/connection.cpp
+++ b/src/net/transport/connection.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <charconv>
+#include <cstddef>
 #include <cstring>
 #include <stdexcept>
 
@@ -185,6 +186,15 @@
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+std::optional<Micros> Connection::input_age() const {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (getsockopt(bufferevent_getfd(bev_.get()), IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+        return std::nullopt;
+    if (size < offsetof(tcp_info, tcpi_last_data_recv) + sizeof info.tcpi_last_data_recv) return std::nullopt;
+    return static_cast<Micros>(info.tcpi_last_data_recv) * kMicrosPerMillisecond;
+}
+
 bool Connection::peer_has_closed() const {
     pollfd request{bufferevent_getfd(bev_.get()), POLLRDHUP, 0};
     return poll(&request, 1, 0) > 0 && (request.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
--- a/src/net/transport/connection.h
+++ b/src/net/transport/connection.h
@@ -84,6 +84,9 @@
     // Returns true if a read from the socket would block: neither data nor a FIN nor an error is pending in
     // the kernel.
     bool has_nothing_to_read() const;
+    // Returns how long ago the kernel received the newest data of this connection, whether or not it has been
+    // read; std::nullopt if the kernel does not tell. Accurate to a few milliseconds.
+    std::optional<Micros> input_age() const;
     // Returns true if the peer has sent a FIN or a RST, even if unread bytes precede it in the socket buffer.
     bool peer_has_closed() const;
 
