Reproduce the lost requests with real processes, as tests that fail

process_tests runs the shipped program over loopback: a crowd that fills the descriptors, SIGSTOP and SIGCONT, clients that close, half-close or cancel meanwhile.

- a canceled request is retried after a stop (related).

The two that pass: a half-closed client is served, and a request whose client closed is not retried after a stop.

The emulated endpoints and discovery of ProxyHarness move to EmulatedPeers, which both harnesses use. Endpoints now also count a query whose connection the proxy closes right after it: before, such a query was not seen, which hid the fault.

--- a/tests/integration/proxy_harness.h
+++ b/tests/integration/proxy_harness.h
@@ -4,57 +4,18 @@
 
 #include <gtest/gtest.h>
 
-#include <cstddef>
 #include <cstdint>
-#include <iterator>
-#include <map>
 #include <nlohmann/json.hpp>
-#include <set>
 #include <string>
 #include <utility>
-#include <vector>
 
+#include "emulated_peers.h"
 #include "loopback.h"
-#include "pgwire/frame.h"
 #include "server/server.h"
 
 namespace integration {
 
-using sloestack::Micros;
-using sloestack::Time;
-
-constexpr Micros kRequestDeadline = 2'000'000;
-constexpr Micros kIdempotencyWindow = 600'000;
-/// For this long after a client has disconnected, its requests may still be forwarded.
-constexpr Micros kDisconnectTolerance = 100'000;
-/// Time from SIGTERM until the platform kills the process.
-constexpr Micros kKillTimeout = kRequestDeadline + 700'000;
-constexpr int kDefaultDescriptors = 256;
-
-/// A request class of the deploy file. The tests' classes differ only in their effect.
-struct RequestClass {
-    const char* name;
-    const char* effect;
-};
-constexpr RequestClass kRequestClasses[] = {
-    {"read", "read_like"}, {"keyed_write", "idempotency_key"}, {"plain_write", "non_idempotent"}};
-
-/// Returns the settings of a deploy file with these classes, in this order.
-nlohmann::json make_settings(const std::vector<RequestClass>& classes = {std::begin(kRequestClasses),
-                                                                         std::end(kRequestClasses)});
-
-/// Returns the start-up message of a client.
-std::string startup_message();
-
-/// A query that an endpoint has received.
-struct ReceivedQuery {
-    int endpoint;
-    std::string id;
-    Time received_at;
-    Micros time_left;  // until the deadline, as stated in the query
-};
-
-class ProxyHarness {
+class ProxyHarness : public EmulatedPeers {
 public:
     explicit ProxyHarness(nlohmann::json settings = make_settings(), int descriptors = kDefaultDescriptors,
                           bool endpoints_known = true);
@@ -71,19 +32,7 @@
     /// Sends a CancelRequest for the client's session, on a separate connection.
     void cancel();
 
-    // ---- endpoints ----
-    /// Responds to all queries that have arrived.
-    void respond_to_all();
-    /// Responds to the query with this id, if it has arrived.
-    void respond_to(const std::string& id);
-    /// Sends the first message of each pending response (RowDescription).
-    void begin_responses();
-    void reset_endpoints();
-    /// Drains the endpoint that received the last query, or the first endpoint if none has received one.
-    void drain_endpoint();
-
     // ---- discovery ----
-    void reset_discovery();
     /// Responds to polls until a long poll is pending.
     void establish_long_poll();
 
@@ -109,32 +58,16 @@
     loopback::ManualClock clock;
     loopback::Peer client;
     int request_count = 0;
-    int draining_endpoint = -1;
-    bool endpoints_accept_startup = true;
-    std::vector<ReceivedQuery> queries;
 
 private:
     int ready_count();
-    bool long_poll_pending() const;
-    static nlohmann::json make_entry(std::uint16_t port, const char* phase);
     sloestack::config::Config read_config();
-    void receive_from_endpoint(int number, loopback::Peer& peer);
-    void receive_query(int endpoint, loopback::Peer& peer, const sloestack::pgwire::Message& message);
-    void serve_discovery();
-    void send_endpoint_list();
 
     nlohmann::json settings_;
     int descriptors_;
     bool endpoints_known_;
-    std::vector<loopback::Listener> endpoints_{2};
-    loopback::Listener discovery_;
-    std::vector<nlohmann::json> entries_;
-    std::map<loopback::Peer*, std::string> pending_queries_;  // request ids by endpoint connection
-    std::set<loopback::Peer*> started_peers_;                 // endpoint connections after their start-up
     std::pair<std::uint32_t, std::uint32_t> cancel_key_;
     loopback::Peer cancelling_client_;
-    int list_revision_ = 1;
-    int sent_revision_ = 0;
     sloestack::server::Server server_;
 };
 
--- /dev/null
+++ b/tests/process/disconnected_client_test.cpp
@@ -0,0 +1,142 @@
+// Requests whose clients have left, or have waited for long, before the proxy reads them: the proxy was out
+// of descriptors, or the process was stopped.
+#include <gtest/gtest.h>
+
+#include <csignal>
+
+#include "proxy_process.h"
+
+namespace {
+
+using namespace process_test;
+using loopback::Peer;
+
+constexpr int kDescriptors = 64;
+constexpr Micros kSettleTime = 300 * kMillisecond;
+constexpr Micros kDeadlineSlack = 150 * kMillisecond;
+
+ProcessOptions few_descriptors() {
+    ProcessOptions options;
+    options.descriptors = kDescriptors;
+    return options;
+}
+
+TEST(DisconnectedClient, RequestInTheAcceptQueueIsNotForwardedAfterItsClientLeft) {
+    ProxyProcess proxy(few_descriptors());
+    proxy.open_idle_endpoint_connections();
+    auto busy = proxy.open_busy_sessions(session_limit(kDescriptors));
+    proxy.run_for(50 * kMillisecond);
+    std::vector<Peer> clients;
+    for (int i = 0; i < 5; ++i)
+        clients.push_back(proxy.connect_and_request("left" + std::to_string(i), 1'000 * kMillisecond));
+    proxy.run_for(150 * kMillisecond);
+    clients.clear();
+    proxy.run_for(150 * kMillisecond);
+    busy.clear();
+    proxy.run_for(kSettleTime);
+    for (int i = 0; i < 5; ++i) EXPECT_EQ(proxy.arrival_count("left" + std::to_string(i)), 0);
+}
+
+TEST(DisconnectedClient, RequestOfANewConnectionIsNotForwardedAfterAStop) {
+    ProxyProcess proxy;
+    proxy.open_idle_endpoint_connections();
+    proxy.signal(SIGSTOP);
+    auto client = proxy.connect_and_request("left", 1'000 * kMillisecond);
+    proxy.run_for(100 * kMillisecond);
+    client.close();
+    proxy.run_for(200 * kMillisecond);
+    proxy.signal(SIGCONT);
+    proxy.run_for(kSettleTime);
+    EXPECT_EQ(proxy.arrival_count("left"), 0);
+}
+
+TEST(DisconnectedClient, RequestOfAnOpenConnectionIsNotForwardedAfterAStop) {
+    ProxyProcess proxy;
+    proxy.open_idle_endpoint_connections();
+    auto client = proxy.connect_and_request("first", 1'000 * kMillisecond);
+    ASSERT_TRUE(proxy.run_until([&] { return has_row(client); }, 2'000 * kMillisecond));
+    proxy.signal(SIGSTOP);
+    client.send(integration::request_message("left", "read", 1'000 * kMillisecond));
+    client.close();
+    proxy.run_for(200 * kMillisecond);
+    proxy.signal(SIGCONT);
+    proxy.run_for(kSettleTime);
+    EXPECT_EQ(proxy.arrival_count("left"), 0);
+}
+
+TEST(DisconnectedClient, RequestIsNotRetriedAfterAStop) {
+    ProxyProcess proxy;
+    proxy.open_idle_endpoint_connections();
+    proxy.endpoints_hang = true;
+    auto client = proxy.connect_and_request("retried", 2'000 * kMillisecond);
+    ASSERT_TRUE(proxy.run_until([&] { return proxy.arrival_count("retried") == 1; }, 2'000 * kMillisecond));
+    proxy.signal(SIGSTOP);
+    proxy.reset_connection_of("retried");
+    client.close();
+    proxy.run_for(200 * kMillisecond);
+    proxy.signal(SIGCONT);
+    proxy.run_for(kSettleTime);
+    EXPECT_EQ(proxy.arrival_count("retried"), 1);
+}
+
+TEST(DisconnectedClient, CanceledRequestIsNotRetriedAfterAStop) {
+    ProxyProcess proxy;
+    proxy.open_idle_endpoint_connections();
+    proxy.endpoints_hang = true;
+    auto client = proxy.connect_and_request("canceled", 2'000 * kMillisecond);
+    ASSERT_TRUE(proxy.run_until([&] { return proxy.arrival_count("canceled") == 1; }, 2'000 * kMillisecond));
+    const auto key = cancel_key(client);
+    proxy.signal(SIGSTOP);
+    auto canceling = proxy.connect();
+    canceling.send(integration::cancel_message(key));
+    proxy.reset_connection_of("canceled");
+    proxy.run_for(200 * kMillisecond);
+    proxy.signal(SIGCONT);
+    proxy.run_for(kSettleTime);
+    EXPECT_EQ(proxy.arrival_count("canceled"), 1);
+    EXPECT_TRUE(has_error(client, "57014"));
+}
+
+// A client that has only shut down its sending side still waits for its response.
+TEST(DisconnectedClient, RequestInTheAcceptQueueOfAHalfClosedConnectionIsServed) {
+    ProxyProcess proxy(few_descriptors());
+    proxy.open_idle_endpoint_connections();
+    auto busy = proxy.open_busy_sessions(session_limit(kDescriptors));
+    proxy.run_for(50 * kMillisecond);
+    auto client = proxy.connect_and_request("half", 2'000 * kMillisecond);
+    client.half_close();
+    proxy.run_for(200 * kMillisecond);
+    busy.clear();
+    EXPECT_TRUE(proxy.run_until([&] { return has_row(client); }, 1'000 * kMillisecond));
+}
+
+TEST(RequestAge, TimeInTheAcceptQueueCountsTowardsTheDeadline) {
+    ProxyProcess proxy(few_descriptors());
+    proxy.open_idle_endpoint_connections();
+    auto busy = proxy.open_busy_sessions(session_limit(kDescriptors));
+    proxy.run_for(50 * kMillisecond);
+    const Time sent_at = proxy.now();
+    const auto client = proxy.connect_and_request("waited", 1'500 * kMillisecond);
+    proxy.run_for(500 * kMillisecond);
+    busy.clear();
+    ASSERT_TRUE(proxy.run_until([&] { return proxy.arrival_count("waited") == 1; }, 1'000 * kMillisecond));
+    const auto& query = proxy.queries.back();
+    EXPECT_LE(query.time_left, sent_at + 1'500 * kMillisecond - query.received_at + kDeadlineSlack);
+}
+
+TEST(RequestAge, TimeWhileStoppedCountsTowardsTheDeadline) {
+    ProxyProcess proxy;
+    proxy.open_idle_endpoint_connections();
+    auto client = proxy.connect_and_request("first", 1'000 * kMillisecond);
+    ASSERT_TRUE(proxy.run_until([&] { return has_row(client); }, 2'000 * kMillisecond));
+    proxy.signal(SIGSTOP);
+    const Time sent_at = proxy.now();
+    client.send(integration::request_message("waited", "read", 1'500 * kMillisecond));
+    proxy.run_for(500 * kMillisecond);
+    proxy.signal(SIGCONT);
+    ASSERT_TRUE(proxy.run_until([&] { return proxy.arrival_count("waited") == 1; }, 1'000 * kMillisecond));
+    const auto& query = proxy.queries.back();
+    EXPECT_LE(query.time_left, sent_at + 1'500 * kMillisecond - query.received_at + kDeadlineSlack);
+}
+
+}  // namespace
