Begin no attempt until a client whose FIN has arrived is known to be there

Cause: the check before an attempt's first byte looked only for a pending socket error. A client that has closed causes one only after something was written to it. A query that is read together with its client's FIN, from the accept queue or after the process was stopped, is forwarded in the same iteration, before anything is written.

Change: the check also looks at the FIN itself. A half-closed client acknowledges the notice; a closed one resets. Applies to every attempt: first, retry and hedge.

Failed before, pass now: DisconnectedClient.RequestInTheAcceptQueueIsNotForwardedAfterItsClientLeft (5 of 5 requests were forwarded), RequestOfANewConnectionIsNotForwardedAfterAStop, RequestOfAnOpenConnectionIsNotForwardedAfterAStop. RequestInTheAcceptQueueOfAHalfClosedConnectionIsServed passed before and passes. unit, network, simulated-time tests pass.

--- a/src/core/dispatch_loop/dispatch_loop.h
+++ b/src/core/dispatch_loop/dispatch_loop.h
@@ -64,7 +64,7 @@
     void on_attempt_ended(const decision::AttemptEnded& end,
                           std::optional<traffic::ResultValue> value) override;
     void on_health_check_ended(const decision::HealthCheckEnded& end) override;
-    bool is_request_active(traffic::RequestId id) override;
+    traffic::RequestState request_state(traffic::RequestId id) override;
     // EndpointListListener
     void on_endpoint_list(decision::EndpointListKind kind,
                           std::vector<traffic::ListedEndpoint> endpoints) override;
--- a/src/core/dispatch_loop/inputs.cpp
+++ b/src/core/dispatch_loop/inputs.cpp
@@ -38,12 +38,16 @@
         queued_events_.emplace_back(decision::ClientDisconnected{id});
 }
 
-bool DispatchLoop::is_request_active(traffic::RequestId id) {
+traffic::RequestState DispatchLoop::request_state(traffic::RequestId id) {
+    using traffic::ClientPresence;
+    using traffic::RequestState;
     const auto* request = requests_.find(id);
-    if (!request || !request->sink) return false;
-    if (!request->sink->client_disconnected()) return deadlines_.now() < request->deadline;
+    if (!request || !request->sink || deadlines_.now() >= request->deadline) return RequestState::ended;
+    const auto presence = request->sink->client_presence();
+    if (presence == ClientPresence::connected) return RequestState::active;
+    if (presence == ClientPresence::unverified) return RequestState::unverified;
     cancel_request(id);
-    return false;
+    return RequestState::ended;
 }
 
 bool DispatchLoop::on_response_started(const decision::ResponseStarted& start,
--- a/src/core/traffic/attempt.h
+++ b/src/core/traffic/attempt.h
@@ -25,6 +25,13 @@
     std::optional<Time> start_by = {};
 };
 
+// Whether an attempt of a request may begin.
+enum class RequestState {
+    active,
+    ended,       // it has its response, its deadline has passed or its client has disconnected
+    unverified,  // its client may have disconnected; the caller asks again after a short delay
+};
+
 // Carries out attempts and health checks. Implemented by the endpoint side.
 class AttemptSender {
 public:
@@ -47,9 +54,8 @@
     // `value` is present if and only if the outcome is ok.
     virtual void on_attempt_ended(const decision::AttemptEnded& end, std::optional<ResultValue> value) = 0;
     virtual void on_health_check_ended(const decision::HealthCheckEnded& end) = 0;
-    // Returns whether the request still waits for its response. Called before an attempt's first byte is
-    // written. Cancels the request if its client has disconnected.
-    virtual bool is_request_active(RequestId request) = 0;
+    // Called before an attempt's first byte is written. Cancels the request if its client has disconnected.
+    virtual RequestState request_state(RequestId request) = 0;
 
 protected:
     ~AttemptListener() = default;
--- a/src/core/traffic/response.h
+++ b/src/core/traffic/response.h
@@ -31,6 +31,13 @@
     ~ResponseSource() = default;
 };
 
+// Whether a client still waits for its responses.
+enum class ClientPresence {
+    connected,
+    disconnected,
+    unverified,  // it has sent a FIN and may have closed or only half-closed the connection
+};
+
 // Receives the response to one request. Owned by the client side. Exactly one
 // of these is called: on_value; on_rejected; on_failed; or on_value_started
 // followed by chunks and then by on_value_completed or on_value_aborted.
@@ -46,8 +53,9 @@
     virtual void on_value_aborted() = 0;
     virtual void on_rejected(Micros retry_after) = 0;
     virtual void on_failed() = 0;
-    // Checks the connection itself, because its callback for a disconnect may not have run yet.
-    virtual bool client_disconnected() = 0;
+    // Checks the connection itself, because its callback for a disconnect may not have run yet. `unverified`
+    // is resolved within a round trip to the client; the caller asks again.
+    virtual ClientPresence client_presence() = 0;
 
 protected:
     ~ResponseSink() = default;
--- a/src/downstream/sessions/client_session.h
+++ b/src/downstream/sessions/client_session.h
@@ -78,7 +78,7 @@
     void response_written() override { read_messages(); }
     void all_responses_written() override;
     void response_incomplete() override { finish(metrics::SessionEnd::response_cut); }
-    bool client_disconnected() override { return disconnect_detector_.client_disconnected(); }
+    traffic::ClientPresence client_presence() override { return disconnect_detector_.client_presence(); }
 
     bool input_has_ended() const override { return input_has_ended_; }
     bool input_is_paused() const override;
--- a/src/downstream/sessions/disconnect_detector.h
+++ b/src/downstream/sessions/disconnect_detector.h
@@ -1,10 +1,13 @@
 // Detects whether a client that waits for a response has disconnected. A FIN does not show that: the client
 // may have half-closed the connection after its last query and still be reading. So a NoticeResponse is
-// written after a FIN: a client that still reads ignores it, while the host of one that has closed responds
-// with a RST sooner or later. The socket is then checked for that error at intervals.
+// written after a FIN, as a probe: the host of a client that still reads acknowledges it, and the client
+// ignores it, while the host of one that has closed responds with a RST. The socket is checked at intervals.
 #pragma once
 
+#include <optional>
+
 #include "deadlines/deadlines.h"
+#include "traffic/response.h"
 #include "transport/connection.h"
 
 namespace sloestack::downstream {
@@ -39,12 +42,17 @@
     void on_input_ended();
     // Reading is paused: checks the connection at intervals, unless that is scheduled already.
     void on_input_paused();
-    // Checks the connection now. If the client has disconnected, returns true and has
-    // on_client_disconnected() called by the next Deadlines::run_due().
-    bool client_disconnected();
+    // Checks the connection now. If the client has disconnected, has on_client_disconnected() called by the
+    // next Deadlines::run_due(). After a FIN the client counts as connected only if it has acknowledged a
+    // recent probe; without one, sends a probe.
+    traffic::ClientPresence client_presence();
     void stop() { check_.clear(); }
 
 private:
+    bool has_fin() const;
+    // Does nothing while a response is being streamed.
+    void send_probe();
+    bool probe_is_acknowledged() const;
     void schedule_check(Micros delay);
     void check();
 
@@ -52,7 +60,9 @@
     DisconnectDetectorOwner& owner_;
     net::Connection* connection_;
     Deadline check_;
-    bool notice_sent_ = false;
+    bool probe_is_outstanding_ = false;
+    Time probe_sent_at_ = 0;               // of the last probe; 0 if none was sent
+    std::optional<Time> last_present_at_;  // when the last acknowledged probe was sent
 };
 
 }  // namespace sloestack::downstream
--- a/src/downstream/sessions/response_writer.cpp
+++ b/src/downstream/sessions/response_writer.cpp
@@ -109,8 +109,9 @@
     complete(query, error_response(pgwire::code::kSystemError, "no endpoint responded in time"));
 }
 
-bool ResponseWriter::client_disconnected(const Query& query) {
-    if (!owner_.client_disconnected()) return false;
+traffic::ClientPresence ResponseWriter::client_presence(const Query& query) {
+    const auto presence = owner_.client_presence();
+    if (presence != traffic::ClientPresence::disconnected) return presence;
     context_.session_metrics.count_dropped_request();
     const Time now = context_.deadlines.now();
     if (context_.dropped_request_lines.allows(now))
@@ -118,7 +119,7 @@
                   "request " + query.id + " gets no attempt, " +
                       std::to_string((now - query.submitted_at) / kMicrosPerMillisecond) +
                       " ms after it was read");
-    return true;
+    return presence;
 }
 
 void ResponseWriter::complete(Query& query, std::string bytes) {
--- a/src/downstream/sessions/response_writer.h
+++ b/src/downstream/sessions/response_writer.h
@@ -24,7 +24,7 @@
     // A response that was written in part will not be completed. The connection must be closed, which is the
     // only sign of that for the client.
     virtual void response_incomplete() = 0;
-    virtual bool client_disconnected() = 0;
+    virtual traffic::ClientPresence client_presence() = 0;
 
 protected:
     ~ResponseWriterOwner() = default;
@@ -78,7 +78,7 @@
         void on_value_aborted() override { writer.on_value_aborted(*this); }
         void on_rejected(Micros retry_after) override { writer.on_rejected(*this, retry_after); }
         void on_failed() override { writer.on_failed(*this); }
-        bool client_disconnected() override { return writer.client_disconnected(*this); }
+        traffic::ClientPresence client_presence() override { return writer.client_presence(*this); }
 
         ResponseWriter& writer;
         traffic::RequestId request = 0;  // 0 once it has its response or is cancelled
@@ -98,7 +98,7 @@
     void on_value_aborted(Query& query);
     void on_rejected(Query& query, Micros retry_after);
     void on_failed(Query& query);
-    bool client_disconnected(const Query& query);
+    traffic::ClientPresence client_presence(const Query& query);
 
     bool is_first(const Query& query) const { return queries_.front().get() == &query; }
     // Completes the query's response with `bytes`. Writes it and destroys the query if it is the first one,
--- a/src/net/transport/connection.cpp
+++ b/src/net/transport/connection.cpp
@@ -2,8 +2,10 @@
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -195,6 +197,13 @@
     return static_cast<Micros>(info.tcpi_last_data_recv) * kMicrosPerMillisecond;
 }
 
+std::optional<bool> Connection::is_output_acknowledged() const {
+    if (unwritten_bytes() > 0) return false;
+    int unacknowledged_bytes = 0;
+    if (ioctl(bufferevent_getfd(bev_.get()), SIOCOUTQ, &unacknowledged_bytes) != 0) return std::nullopt;
+    return unacknowledged_bytes == 0;
+}
+
 bool Connection::peer_has_closed() const {
     pollfd request{bufferevent_getfd(bev_.get()), POLLRDHUP, 0};
     return poll(&request, 1, 0) > 0 && (request.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
--- a/src/net/transport/connection.h
+++ b/src/net/transport/connection.h
@@ -87,6 +87,9 @@
     // Returns how long ago the kernel received the newest data of this connection, whether or not it has been
     // read; std::nullopt if the kernel does not tell. Accurate to a few milliseconds.
     std::optional<Micros> input_age() const;
+    // Returns whether the peer's kernel has acknowledged all written bytes, which it does only while the
+    // socket is open there; std::nullopt if the kernel does not tell.
+    std::optional<bool> is_output_acknowledged() const;
     // Returns true if the peer has sent a FIN or a RST, even if unread bytes precede it in the socket buffer.
     bool peer_has_closed() const;
 
--- a/src/upstream/connection_pool/attempt_registry.h
+++ b/src/upstream/connection_pool/attempt_registry.h
@@ -25,6 +25,7 @@
     bool on_reused_connection = false;
     Deadline connect_timeout;
     Deadline attempt_timeout;
+    Deadline client_check;  // set while it is not known whether the client is still connected
 };
 
 class AttemptRegistry {
--- a/src/upstream/connection_pool/connection_pool.cpp
+++ b/src/upstream/connection_pool/connection_pool.cpp
@@ -13,6 +13,7 @@
 // The delay between a response and the next query on the same connection. Without it, a duplicate response or
 // extra bytes right after a response would be read as the response to the next query.
 constexpr Micros kReuseDelayUs = 20'000;
+constexpr Micros kClientCheckIntervalUs = 1'000;  // of attempts whose client may have disconnected
 
 }  // namespace
 
@@ -62,7 +63,9 @@
 void ConnectionPool::expire_waiting_attempts(EndpointConnections& endpoint) {
     close_idle_connections(endpoint);
     const auto waiting = std::exchange(endpoint.waiting_attempts, {});
+    const auto unverified = std::exchange(endpoint.unverified_attempts, {});
     for (auto* attempt : waiting) attempts_.finish(*attempt, Outcome::expired);
+    for (auto* attempt : unverified) attempts_.finish(*attempt, Outcome::expired);
 }
 
 // ---- Attempts and health checks ----
@@ -81,15 +84,32 @@
     if (found == endpoints_.end() || !found->second->address)
         return attempts_.finish(attempt, Outcome::connect_failed);
     attempt.endpoint = found->second.get();
-    if (!may_send(attempt)) return attempts_.finish(attempt, Outcome::expired);
     attempt.attempt_timeout.set(deadlines_, attempt.attempt.timeout_at,
                                 [this, &attempt] { abort_attempt(attempt, Outcome::timeout); });
+    enqueue(attempt);
+}
+
+// An attempt that may not be sent takes no connection.
+void ConnectionPool::enqueue(PendingAttempt& attempt) {
+    const auto permission = send_permission(attempt);
+    if (permission == SendPermission::denied) return attempts_.finish(attempt, Outcome::expired);
+    if (permission == SendPermission::undecided) return await_permission(attempt);
+    attempt.started_at = deadlines_.now();
     attempt.connect_timeout.set(deadlines_, attempt.started_at + settings_.connect_timeout_us,
                                 [this, &attempt] { abort_attempt(attempt, Outcome::connect_failed); });
     attempt.endpoint->waiting_attempts.push_back(&attempt);
     serve_waiting_attempts(*attempt.endpoint);
 }
 
+void ConnectionPool::await_permission(PendingAttempt& attempt) {
+    attempt.connect_timeout.clear();
+    attempt.endpoint->unverified_attempts.push_back(&attempt);
+    attempt.client_check.set(deadlines_, deadlines_.now() + kClientCheckIntervalUs, [this, &attempt] {
+        attempt.endpoint->remove_waiting(attempt);
+        enqueue(attempt);
+    });
+}
+
 // Sends waiting attempts on idle connections, then opens connections until as many are being established as
 // attempts still wait.
 void ConnectionPool::serve_waiting_attempts(EndpointConnections& endpoint) {
@@ -112,17 +132,24 @@
     }
 }
 
-// Returns whether the attempt may be sent now. Must be checked right before its first byte is written,
-// whether or not it had to wait for a connection.
-bool ConnectionPool::may_send(const PendingAttempt& attempt) {
-    if (attempt.endpoint->is_draining) return false;
+ConnectionPool::SendPermission ConnectionPool::send_permission(const PendingAttempt& attempt) {
+    using traffic::RequestState;
+    if (attempt.endpoint->is_draining) return SendPermission::denied;
     const auto& start_by = attempt.attempt.start_by;
-    if (start_by && deadlines_.now() >= *start_by) return false;
-    return attempt.is_health_check || listener_.is_request_active(attempt.attempt.request);
+    if (start_by && deadlines_.now() >= *start_by) return SendPermission::denied;
+    if (attempt.is_health_check) return SendPermission::granted;
+    const auto state = listener_.request_state(attempt.attempt.request);
+    if (state == RequestState::unverified) return SendPermission::undecided;
+    return state == RequestState::active ? SendPermission::granted : SendPermission::denied;
 }
 
 bool ConnectionPool::send_on(UpstreamConnection& connection, PendingAttempt& attempt) {
-    if (!may_send(attempt)) {
+    const auto permission = send_permission(attempt);
+    if (permission == SendPermission::undecided) {
+        await_permission(attempt);
+        return false;
+    }
+    if (permission == SendPermission::denied) {
         attempts_.finish(attempt, Outcome::expired);
         return false;
     }
--- a/src/upstream/connection_pool/connection_pool.h
+++ b/src/upstream/connection_pool/connection_pool.h
@@ -58,9 +58,16 @@
     void remove_unlisted(const std::vector<traffic::ListedEndpoint>& endpoints);
     void expire_waiting_attempts(EndpointConnections& endpoint);
 
+    // Whether an attempt may be sent now. Must be determined right before its first byte is written, whether
+    // or not it had to wait for a connection.
+    enum class SendPermission { granted, denied, undecided };
+
     void start(PendingAttempt& attempt);
+    void enqueue(PendingAttempt& attempt);
     void serve_waiting_attempts(EndpointConnections& endpoint);
-    bool may_send(const PendingAttempt& attempt);
+    SendPermission send_permission(const PendingAttempt& attempt);
+    void await_permission(PendingAttempt& attempt);
+    // Returns false if the attempt was not sent: it has ended or waits for its permission.
     bool send_on(UpstreamConnection& connection, PendingAttempt& attempt);
     void abort_attempt(PendingAttempt& attempt, decision::Outcome outcome);
 
--- a/src/upstream/connection_pool/endpoint_connections.cpp
+++ b/src/upstream/connection_pool/endpoint_connections.cpp
@@ -9,6 +9,11 @@
     return left.sin_addr.s_addr == right.sin_addr.s_addr && left.sin_port == right.sin_port;
 }
 
+template <class Container, class Element>
+void erase(Container& container, const Element* element) {
+    container.erase(std::remove(container.begin(), container.end(), element), container.end());
+}
+
 }  // namespace
 
 bool EndpointConnections::update(const traffic::ListedEndpoint& listed, bool removal_is_advisory) {
@@ -23,13 +28,12 @@
 }
 
 void EndpointConnections::remove_idle(const UpstreamConnection& connection) {
-    idle_connections.erase(std::remove(idle_connections.begin(), idle_connections.end(), &connection),
-                           idle_connections.end());
+    erase(idle_connections, &connection);
 }
 
 void EndpointConnections::remove_waiting(const PendingAttempt& attempt) {
-    waiting_attempts.erase(std::remove(waiting_attempts.begin(), waiting_attempts.end(), &attempt),
-                           waiting_attempts.end());
+    erase(waiting_attempts, &attempt);
+    erase(unverified_attempts, &attempt);
 }
 
 }  // namespace sloestack::upstream
--- a/src/upstream/connection_pool/endpoint_connections.h
+++ b/src/upstream/connection_pool/endpoint_connections.h
@@ -20,11 +20,14 @@
     std::list<std::unique_ptr<UpstreamConnection>> connections;
     std::vector<UpstreamConnection*> idle_connections;  // the most recently used at the back
     std::deque<PendingAttempt*> waiting_attempts;       // in order of arrival
+    std::vector<PendingAttempt*> unverified_attempts;   // whose clients may have disconnected
     std::size_t connecting_count = 0;                   // connections that are not established yet
 
     // Applies the endpoint's entry in a list from discovery. Returns true if the address has changed.
     bool update(const traffic::ListedEndpoint& listed, bool removal_is_advisory);
-    bool is_unused() const { return is_removed && connections.empty() && waiting_attempts.empty(); }
+    bool is_unused() const {
+        return is_removed && connections.empty() && waiting_attempts.empty() && unverified_attempts.empty();
+    }
     // These do nothing if the connection is not idle or the attempt is not waiting.
     void remove_idle(const UpstreamConnection& connection);
     void remove_waiting(const PendingAttempt& attempt);
