Close idle sessions for waiting clients also while accepting is paused

Cause: a session that has sent no query may be closed for a new client 50 ms after its connect. That was tried only when a client was accepted. A crowd that took all descriptors within 50 ms was never displaced, because nothing is accepted during a pause; its sessions ended at the first-query time-out, 2.4 s later.

Change: a pause of accepting ends when an idle session can be closed, and begins only if none can.

Failed before, pass now: ClientCrowd.ConnectionsThatSendNothingDoNotKeepANewClientOut and SessionsWithoutAQueryDoNotKeepANewClientOut (no response within 0.5 s before).

--- a/src/downstream/sessions/client_listener.cpp
+++ b/src/downstream/sessions/client_listener.cpp
@@ -112,7 +112,12 @@
     if (!session->is_open()) return;
     const auto* key = session.get();
     positions_[key] = sessions_.insert(sessions_.end(), std::move(session));
-    if (client_quota_.is_full() && overflow_quota_.is_full()) pause_accepting();
+    if (!can_accept()) pause_accepting();
+}
+
+// Returns whether a descriptor is free for the next client, after closing an idle session if necessary.
+bool ClientListener::can_accept() {
+    return !client_quota_.is_full() || !overflow_quota_.is_full() || close_one_idle_session();
 }
 
 // No descriptor is left: new clients wait in the kernel's accept queue.
@@ -129,7 +134,7 @@
 }
 
 void ClientListener::resume_accepting() {
-    if (client_quota_.is_full() && overflow_quota_.is_full()) return pause_accepting();
+    if (!can_accept()) return pause_accepting();
     const Micros paused_for = deadlines_.now() - std::exchange(accepting_paused_at_, 0);
     context_.session_metrics.count_accept_pause(paused_for);
     if (paused_for >= kLoggedPauseUs)
--- a/src/downstream/sessions/client_listener.h
+++ b/src/downstream/sessions/client_listener.h
@@ -58,6 +58,7 @@
     void pause_accepting();
     void resume_accepting();
     void log_descriptor_use();
+    bool can_accept();
     bool close_one_idle_session();
     bool release_lingering_slot();
     void close_long_idle_sessions();
