Displace sessions that stopped in the middle of a message when descriptors run out

Change: when a new client needs a descriptor and no session is idle, a session is closed that has been silent in the middle of a message for 0.5 s. It gets a fatal 53300 first, as nothing has been taken from it.

Shutdown.RejectsConnectionsInTheAcceptQueueBeforeTheListenerCloses fills all descriptors with silent parts of messages, which no longer count as busy 0.65 s later. Its clients now go on sending their message; all its expectations are unchanged.

--- a/src/downstream/sessions/client_listener.cpp
+++ b/src/downstream/sessions/client_listener.cpp
@@ -162,14 +162,15 @@
                                         std::to_string(without_query));
 }
 
-// Closes a session that has sent no query, or else the one that has been idle for longest: hundreds of
-// clients that connect and send nothing must not keep other clients out.
+// Closes a session that has sent no query, or else the one that has been idle for longest, or else one that
+// has stopped in the middle of a message: hundreds of such clients must not keep other clients out.
 bool ClientListener::close_one_idle_session() {
     if (lingering_quota_.is_full() && !release_lingering_slot()) return false;
-    for (const auto may_close : {&ClientSession::is_idle_before_first_query, &ClientSession::is_idle}) {
+    for (const auto may_close : {&ClientSession::is_idle_before_first_query, &ClientSession::is_idle,
+                                 &ClientSession::is_stalled_in_message}) {
         for (auto& session : sessions_) {
             if ((session.get()->*may_close)()) {
-                session->finish(metrics::SessionEnd::displaced);
+                session->displace();
                 return true;
             }
         }
--- a/src/downstream/sessions/client_session.cpp
+++ b/src/downstream/sessions/client_session.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t kMaxOpenQueries = 8;
 constexpr Micros kMemoryRetryDelayUs = 5'000;
 constexpr Micros kIdleBeforeFirstQueryUs = 50'000;
+constexpr Micros kStalledMessageUs = 500'000;  // longer than slow clients pause between two writes
 
 }  // namespace
 
@@ -52,6 +53,12 @@
     return context_.deadlines.now() - timeouts_.connected_at() > kIdleBeforeFirstQueryUs && has_no_input();
 }
 
+bool ClientSession::is_stalled_in_message() const {
+    if (is_ending() || !responses_.empty() || framer_.waits_for_memory()) return false;
+    const bool is_silent = context_.deadlines.now() - framer_.last_read_at() > kStalledMessageUs;
+    return is_silent && framer_.has_partial_message() && connection_->has_nothing_to_read();
+}
+
 Time ClientSession::last_active_at() const {
     return std::max({timeouts_.connected_at(), framer_.last_read_at(), responses_.last_response_at()});
 }
@@ -230,6 +237,12 @@
     if (!responses_.empty() && state_ != State::closed) disconnect_detector_.on_input_ended();
 }
 
+void ClientSession::displace() {
+    if (!framer_.has_partial_message()) return finish(metrics::SessionEnd::displaced);
+    fail_session(metrics::SessionEnd::displaced, pgwire::code::kTooManyConnections,
+                 "too many clients while the rest of a message was missing");
+}
+
 void ClientSession::record_end(metrics::SessionEnd reason) {
     if (std::exchange(end_is_recorded_, true)) return;
     context_.session_metrics.count_end(reason);
--- a/src/downstream/sessions/client_session.h
+++ b/src/downstream/sessions/client_session.h
@@ -50,6 +50,8 @@
     bool is_idle() const;
     // Returns true if the client has been connected for a while and has sent no query, not even part of one.
     bool is_idle_before_first_query() const;
+    // Returns true if the client has sent a part of a message and has been silent since.
+    bool is_stalled_in_message() const;
     bool is_ending() const { return state_ == State::finishing || state_ == State::closed; }
     bool is_lingering() const { return is_lingering_; }
     // Returns the time of the connect, the last read or the last response, whichever is latest.
@@ -62,6 +64,8 @@
     // the client may lose the last response. Requests that arrive from now on get no response; the client may
     // send them again on another connection.
     void finish(metrics::SessionEnd reason);
+    // The same, in favour of a new client. A client in the middle of a message gets an error first.
+    void displace();
     // Closes at once, for a failed connection or a lingering close that takes too long.
     void close(metrics::SessionEnd reason);
     // Handles the client's CancelRequest, which arrives on another connection.
