Count a request's time left from its arrival in the kernel, not from when it is read

Time in the accept queue, or while the process was stopped, was given away.

Change: the age of the newest input is taken from TCP_INFO. Where the kernel does not tell it (emulated sockets), the first input of a connection counts as being as old as the pause of accepting before it. When accepting resumes, the queue is emptied at once, so that the end of that time is known. Errors of accept() that concern one connection no longer end that loop.

--- a/src/downstream/sessions/client_framer.cpp
+++ b/src/downstream/sessions/client_framer.cpp
@@ -1,5 +1,7 @@
 #include "sessions/client_framer.h"
 
+#include <algorithm>
+
 namespace sloestack::downstream {
 namespace {
 
@@ -29,9 +31,10 @@
 
 }  // namespace
 
-void ClientFramer::on_bytes_received(Time now) {
+void ClientFramer::on_bytes_received(Time now, Micros age) {
     last_read_at_ = now;
-    arrivals_.record(connection_->consumed_bytes() + connection_->unread_bytes(), now);
+    last_arrival_at_ = std::max(last_arrival_at_, now - age);
+    arrivals_.record(connection_->consumed_bytes() + connection_->unread_bytes(), last_arrival_at_);
 }
 
 std::optional<pgwire::Message> ClientFramer::next_startup() {
@@ -45,7 +48,7 @@
 }
 
 Time ClientFramer::arrival_of(const pgwire::Message& message) {
-    return arrivals_.arrival_of(connection_->consumed_bytes() + message.size, last_read_at_);
+    return arrivals_.arrival_of(connection_->consumed_bytes() + message.size, last_arrival_at_);
 }
 
 std::optional<std::string_view> ClientFramer::peek_query(std::size_t max_size) const {
@@ -86,7 +89,7 @@
 }
 
 Time ClientFramer::large_statement_arrival() {
-    return arrivals_.arrival_of(connection_->consumed_bytes(), last_read_at_);
+    return arrivals_.arrival_of(connection_->consumed_bytes(), last_arrival_at_);
 }
 
 void ClientFramer::stop() {
--- a/src/downstream/sessions/client_framer.h
+++ b/src/downstream/sessions/client_framer.h
@@ -37,8 +37,8 @@
     ClientFramer(const ClientFramer&) = delete;
     ClientFramer& operator=(const ClientFramer&) = delete;
 
-    // Must be called whenever bytes have been received.
-    void on_bytes_received(Time now);
+    // Must be called whenever bytes have been received; the newest of them arrived `age` ago.
+    void on_bytes_received(Time now, Micros age);
     Time last_read_at() const { return last_read_at_; }
 
     // Returns the first message, or std::nullopt if it is incomplete. Its body refers to the connection's
@@ -80,6 +80,7 @@
     net::MemoryBudget& budget_;
     ArrivalTimes arrivals_;
     Time last_read_at_ = 0;
+    Time last_arrival_at_ = 0;
     std::shared_ptr<void> reservation_;  // until begin_large_statement()
     std::optional<PartialStatement> partial_statement_;
     bool waits_for_memory_ = false;
--- a/src/downstream/sessions/client_listener.cpp
+++ b/src/downstream/sessions/client_listener.cpp
@@ -107,8 +107,9 @@
     if (!slot && close_one_idle_session()) slot = client_quota_.acquire();
     const bool reject_requests = !slot;
     if (reject_requests) slot = overflow_quota_.acquire();
+    const Time connected_since = queue_waits_since_ ? queue_waits_since_ : last_accepted_at_;
     auto session = std::make_unique<ClientSession>(context_, static_cast<ClientSessionOwner&>(*this), fd,
-                                                   std::move(slot), reject_requests);
+                                                   std::move(slot), connected_since, reject_requests);
     if (!session->is_open()) return;
     const auto* key = session.get();
     positions_[key] = sessions_.insert(sessions_.end(), std::move(session));
@@ -129,6 +130,7 @@
     }
     if (!listener_) return;
     if (!accepting_paused_at_) accepting_paused_at_ = now;
+    if (!queue_waits_since_) queue_waits_since_ = now;
     listener_->pause();
     resume_accepting_.set(deadlines_, now + kAcceptRetryDelayUs, [this] { resume_accepting(); });
 }
@@ -139,7 +141,7 @@
     context_.session_metrics.count_accept_pause(paused_for);
     if (paused_for >= kLoggedPauseUs)
         log::line("accepting resumed", "after " + std::to_string(paused_for / kMicrosPerMillisecond) + " ms");
-    if (listener_) listener_->resume();
+    if (listener_ && listener_->resume()) queue_waits_since_ = 0;
 }
 
 void ClientListener::log_descriptor_use() {
--- a/src/downstream/sessions/client_listener.h
+++ b/src/downstream/sessions/client_listener.h
@@ -88,7 +88,9 @@
     Time last_accepted_at_ = 0;
     Time last_warning_at_ = 0;
     Time accepting_paused_at_ = 0;  // 0 while accepting
-    Time stopping_since_ = 0;       // 0 until stop() is called
+    // Since when connections may have been waiting in the accept queue; 0 if it was empty when last polled.
+    Time queue_waits_since_ = 0;
+    Time stopping_since_ = 0;  // 0 until stop() is called
 };
 
 }  // namespace sloestack::downstream
--- a/src/downstream/sessions/client_session.cpp
+++ b/src/downstream/sessions/client_session.cpp
@@ -21,10 +21,11 @@
 }  // namespace
 
 ClientSession::ClientSession(SessionContext& context, ClientSessionOwner& owner, evutil_socket_t fd,
-                             net::DescriptorSlot slot, bool reject_requests)
+                             net::DescriptorSlot slot, Time connected_since, bool reject_requests)
     : context_(context),
       owner_(owner),
       slot_(std::move(slot)),
+      connected_since_(connected_since),
       reject_requests_(reject_requests),
       statements_(context),
       timeouts_(context.deadlines, context.deadlines.now(), [this] { on_timeout(); }),
@@ -66,9 +67,9 @@
 // ---- Reading ----
 void ClientSession::received() {
     if (state_ == State::finishing) return connection_->consume(connection_->unread_bytes());
-    const Micros age = connection_->input_age().value_or(0);
+    const Micros age = input_age();
     context_.session_metrics.count_request_read(age);
-    framer_.on_bytes_received(context_.deadlines.now());
+    framer_.on_bytes_received(context_.deadlines.now(), age);
     read_messages();
     if (input_is_paused()) disconnect_detector_.on_input_paused();
     if (state_ == State::open && responses_.empty() && context_.account.is_exceeded() &&
@@ -77,6 +78,13 @@
                      "memory limit for buffered client input exceeded");
 }
 
+// Input waits while the connection is in the accept queue or the process is stopped. Without the kernel's
+// answer only the first is known.
+Micros ClientSession::input_age() const {
+    if (const auto age = connection_->input_age()) return *age;
+    return framer_.last_read_at() ? 0 : context_.deadlines.now() - connected_since_;
+}
+
 void ClientSession::drained() {
     if (state_ == State::finishing) return linger();
     if (responses_.is_streaming()) {
--- a/src/downstream/sessions/client_session.h
+++ b/src/downstream/sessions/client_session.h
@@ -32,10 +32,11 @@
                             private ResponseWriterOwner,
                             private DisconnectDetectorOwner {
 public:
-    // Takes ownership of the socket `fd`, which is counted by `slot`. With `reject_requests`, the first
-    // request is rejected and the session is finished. `context` and `owner` outlive the session.
+    // Takes ownership of the socket `fd`, which is counted by `slot`. The client may have connected, and sent
+    // its first input, as early as `connected_since`. With `reject_requests`, the first request is rejected
+    // and the session is finished. `context` and `owner` outlive the session.
     ClientSession(SessionContext& context, ClientSessionOwner& owner, evutil_socket_t fd,
-                  net::DescriptorSlot slot, bool reject_requests);
+                  net::DescriptorSlot slot, Time connected_since, bool reject_requests);
     ~ClientSession();
     ClientSession(const ClientSession&) = delete;
     ClientSession& operator=(const ClientSession&) = delete;
@@ -98,6 +99,8 @@
     bool continue_large_statement();
     bool next_query_may_overlap() const;
     bool has_no_input() const;
+    // Returns how long the newest input may have waited in the kernel.
+    Micros input_age() const;
 
     void handle_startup(std::string_view body);
     void handle_message(const pgwire::Message& message);
@@ -116,6 +119,7 @@
     SessionContext& context_;
     ClientSessionOwner& owner_;
     net::DescriptorSlot slot_;
+    const Time connected_since_;
     const bool reject_requests_;
     State state_ = State::startup;
     bool skip_to_sync_ = false;  // after an error in the extended query protocol
--- a/src/net/transport/connection.cpp
+++ b/src/net/transport/connection.cpp
@@ -13,6 +13,7 @@
 #include <charconv>
 #include <cstddef>
 #include <cstring>
+#include <iterator>
 #include <stdexcept>
 
 namespace sloestack::net {
@@ -20,12 +21,21 @@
 
 constexpr std::size_t kMaxReadBytes = 64 * 1024;
 constexpr int kListenBacklog = 1024;
+constexpr Micros kKernelTickUs = 10'000;  // of the slowest usual configuration, HZ=100
 
 void set_tcp_no_delay(evutil_socket_t fd) {
     const int enabled = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
 }
 
+// Returns whether accept() failed for the next connection only, or was interrupted, so that it may be called
+// again at once. See "Error handling" in accept(2).
+bool concerns_one_connection(int error) {
+    constexpr int kErrors[] = {EINTR,     ECONNABORTED, EPROTO,       ENETDOWN,   ENOPROTOOPT,
+                               EHOSTDOWN, ENONET,       EHOSTUNREACH, EOPNOTSUPP, ENETUNREACH};
+    return std::find(std::begin(kErrors), std::end(kErrors), error) != std::end(kErrors);
+}
+
 }  // namespace
 
 std::optional<sockaddr_in> parse_address(const std::string& text) {
@@ -194,7 +204,10 @@
     if (getsockopt(bufferevent_getfd(bev_.get()), IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
         return std::nullopt;
     if (size < offsetof(tcp_info, tcpi_last_data_recv) + sizeof info.tcpi_last_data_recv) return std::nullopt;
-    return static_cast<Micros>(info.tcpi_last_data_recv) * kMicrosPerMillisecond;
+    // Emulated sockets may leave everything but the state at 0.
+    if (info.tcpi_rcv_mss == 0) return std::nullopt;
+    const Micros age = static_cast<Micros>(info.tcpi_last_data_recv) * kMicrosPerMillisecond;
+    return age <= kKernelTickUs ? 0 : age;
 }
 
 std::optional<bool> Connection::is_output_acknowledged() const {
@@ -252,13 +265,39 @@
     });
 }
 
-void Listener::pause() { evconnlistener_disable(listener_.get()); }
-void Listener::resume() { evconnlistener_enable(listener_.get()); }
+void Listener::pause() {
+    is_paused_ = true;
+    evconnlistener_disable(listener_.get());
+}
 
-void Listener::accept_pending() {
+bool Listener::resume() {
+    is_paused_ = false;
+    evconnlistener_enable(listener_.get());
+    const auto result = accept_while([this] { return !is_paused_; });
+    if (result == AcceptResult::failed) {
+        pause();
+        failed_();
+    }
+    return result == AcceptResult::queue_empty;
+}
+
+bool Listener::accept_pending() {
+    return accept_while([] { return true; }) == AcceptResult::queue_empty;
+}
+
+template <class Condition>
+Listener::AcceptResult Listener::accept_while(Condition condition) {
     const auto listening = evconnlistener_get_fd(listener_.get());
-    for (evutil_socket_t fd; (fd = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;)
-        accepted_(fd);
+    while (condition()) {
+        const auto fd = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd >= 0)
+            accepted_(fd);
+        else if (errno == EAGAIN || errno == EWOULDBLOCK)
+            return AcceptResult::queue_empty;
+        else if (!concerns_one_connection(errno))
+            return AcceptResult::failed;
+    }
+    return AcceptResult::stopped;
 }
 
 std::uint16_t Listener::port() const {
--- a/src/net/transport/connection.h
+++ b/src/net/transport/connection.h
@@ -85,7 +85,8 @@
     // the kernel.
     bool has_nothing_to_read() const;
     // Returns how long ago the kernel received the newest data of this connection, whether or not it has been
-    // read; std::nullopt if the kernel does not tell. Accurate to a few milliseconds.
+    // read; 0 if that is within the resolution of the kernel's clock, std::nullopt if the kernel does not
+    // tell.
     std::optional<Micros> input_age() const;
     // Returns whether the peer's kernel has acknowledged all written bytes, which it does only while the
     // socket is open there; std::nullopt if the kernel does not tell.
@@ -126,20 +127,27 @@
     Listener(Loop& loop, evutil_socket_t listening, std::function<void(evutil_socket_t)> accepted,
              std::function<void()> failed);
     void pause();
-    void resume();
+    // Accepts the connections in the kernel's accept queue, until it is empty or `accepted` has called
+    // pause(). Returns true if the queue was empty at last.
+    bool resume();
     // Accepts all connections in the kernel's accept queue; the kernel resets those that are left there when
-    // the listening socket is closed.
-    void accept_pending();
+    // the listening socket is closed. Returns false if some may be left because accept() failed.
+    bool accept_pending();
     std::uint16_t port() const;
 
 private:
     struct Free {
         void operator()(evconnlistener* l) const { evconnlistener_free(l); }
     };
+    enum class AcceptResult { queue_empty, stopped, failed };
+    // Accepts connections while `condition` returns true.
+    template <class Condition>
+    AcceptResult accept_while(Condition condition);
     void watch_errors();
 
     std::function<void(evutil_socket_t)> accepted_;
     std::function<void()> failed_;
+    bool is_paused_ = false;
     std::unique_ptr<evconnlistener, Free> listener_;
 };
 
--- a/tests/process/disconnected_client_test.cpp
+++ b/tests/process/disconnected_client_test.cpp
@@ -110,20 +110,30 @@
     EXPECT_TRUE(proxy.run_until([&] { return has_row(client); }, 1'000 * kMillisecond));
 }
 
-TEST(RequestAge, TimeInTheAcceptQueueCountsTowardsTheDeadline) {
-    ProxyProcess proxy(few_descriptors());
+void expect_accept_queue_to_count(const ProcessOptions& options) {
+    ProxyProcess proxy(options);
     proxy.open_idle_endpoint_connections();
     auto busy = proxy.open_busy_sessions(session_limit(kDescriptors));
     proxy.run_for(50 * kMillisecond);
     const Time sent_at = proxy.now();
     const auto client = proxy.connect_and_request("waited", 1'500 * kMillisecond);
-    proxy.run_for(500 * kMillisecond);
+    proxy.run_for(400 * kMillisecond);
     busy.clear();
     ASSERT_TRUE(proxy.run_until([&] { return proxy.arrival_count("waited") == 1; }, 1'000 * kMillisecond));
     const auto& query = proxy.queries.back();
     EXPECT_LE(query.time_left, sent_at + 1'500 * kMillisecond - query.received_at + kDeadlineSlack);
 }
 
+TEST(RequestAge, TimeInTheAcceptQueueCountsTowardsTheDeadline) {
+    expect_accept_queue_to_count(few_descriptors());
+}
+
+TEST(RequestAge, TimeInTheAcceptQueueCountsIfTheKernelDoesNotTellIt) {
+    auto options = few_descriptors();
+    options.faults = {"SHIM_NO_TCP_INFO=1"};
+    expect_accept_queue_to_count(options);
+}
+
 TEST(RequestAge, TimeWhileStoppedCountsTowardsTheDeadline) {
     ProxyProcess proxy;
     proxy.open_idle_endpoint_connections();
--- a/tests/process/fault_shim.cpp
+++ b/tests/process/fault_shim.cpp
@@ -5,8 +5,11 @@
 //   SHIM_CONNECT_ERRORS=N      every N-th connect() fails: EADDRNOTAVAIL, ENETUNREACH in turn
 //   SHIM_WAIT_INTERRUPTS=N     every N-th epoll_wait returns EINTR
 //   SHIM_SHORT_IO=N            reads and writes move at most N bytes; every second one returns EINTR
+//   SHIM_NO_TCP_INFO=1         TCP_INFO is all zeros, as on emulated sockets
 //   SHIM_WALL_CLOCK_STEP=S     the wall clock is S seconds off from the second after the start on
 #include <dlfcn.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <sys/time.h>
@@ -18,6 +21,7 @@
 #include <array>
 #include <cerrno>
 #include <cstdlib>
+#include <cstring>
 
 namespace {
 
@@ -91,6 +95,15 @@
     return call.fails() ? -1 : real(fd, address, size);
 }
 
+int getsockopt(int fd, int level, int option, void* value, socklen_t* size) {
+    static const auto real = next<int (*)(int, int, int, void*, socklen_t*)>("getsockopt");
+    static const bool hides_tcp_info = setting("SHIM_NO_TCP_INFO") != 0;
+    const int result = real(fd, level, option, value, size);
+    if (result == 0 && hides_tcp_info && level == IPPROTO_TCP && option == TCP_INFO)
+        std::memset(value, 0, *size);
+    return result;
+}
+
 int epoll_wait(int fd, epoll_event* events, int count, int timeout) {
     static FailingCall<1> call("SHIM_WAIT_INTERRUPTS", {EINTR});
     static const auto real = next<int (*)(int, epoll_event*, int, int)>("epoll_wait");
