Read the input that arrived during a delay before acting on deadlines and retries

Seen by callers: after the process had been stopped, a request that its client had canceled meanwhile was retried.

Cause: in the first iteration after a delay, the reset of the endpoint's connection is read and the retry is started, while the CancelRequest still lies in the accept queue: it takes two more polls to accept its connection and to read it.

Change: when the event loop has run 20 ms or more late, three polls without a wait come before deadlines and decisions.

--- a/src/app/server/server.cpp
+++ b/src/app/server/server.cpp
@@ -13,7 +13,10 @@
 namespace {
 
 constexpr Micros kReportIntervalUs = 10'000'000;
+constexpr Micros kLateIterationUs = 20'000;
 constexpr Micros kLoggedDelayUs = 100'000;
+// To accept a connection, read its input, and read what that has caused.
+constexpr int kCatchUpIterations = 3;
 #ifdef NDEBUG
 constexpr bool kIsDebugBuild = false;
 #else
@@ -160,7 +163,8 @@
     const Time began_at = deadlines_.now();
     if (const auto next = deadlines_.next()) max_wait_us = std::min(max_wait_us, *next - began_at);
     loop_.run_once(max_wait_us);
-    record_lateness(began_at + std::max<Micros>(0, max_wait_us));
+    const Micros delay = deadlines_.now() - began_at - std::max<Micros>(0, max_wait_us);
+    if (delay >= kLateIterationUs) catch_up(delay);
     dispatch_loop_.run_iteration();
     // Where lists are pushed, clients are accepted once the
     // first poll of the local agent has succeeded or failed.
@@ -171,8 +175,10 @@
     loop_.end_iteration();
 }
 
-void Server::record_lateness(Time due_at) {
-    const Micros delay = deadlines_.now() - due_at;
+// The input that arrived during the delay, such as a cancel request on a new connection, is read before any
+// deadline or retry that is due is acted on.
+void Server::catch_up(Micros delay) {
+    for (int i = 0; i < kCatchUpIterations; ++i) loop_.run_once(0);
     if (delay < kLoggedDelayUs) return;
     client_listener_->session_metrics().count_late_iteration(delay);
     log::line("event loop late", std::to_string(delay / kMicrosPerMillisecond) + " ms");
--- a/src/app/server/server.h
+++ b/src/app/server/server.h
@@ -49,8 +49,8 @@
     // Logs newly broken invariants and changed metrics, and schedules its next run.
     void report();
     void log_table_sizes() const;
-    // Logs an event loop that could not run in time.
-    void record_lateness(Time due_at);
+    // Called when the event loop has run late by `delay`.
+    void catch_up(Micros delay);
     std::unique_ptr<discovery::DiscoveryWatch> make_discovery_watch(const config::Config& config);
     std::unique_ptr<downstream::ClientListener> make_client_listener(const config::Config& config);
     // Sends the update to the other processes of this proxy. Calls `done` as
