Keep the listener open at a stop while accept fails with clients in the queue

Seen by callers: clients that had connected and sent a request just before the listener closed at a stop were reset without an answer if accept() failed at that moment.

Cause: the last emptying of the accept queue ended at the first error of accept(), and the socket was closed.

Failed before, passes now: SystemCallFailures.ClientsInTheAcceptQueueAreAnsweredAtAStopWhileAcceptFails (12 of 12 clients reset). The other six tests of that file passed before: failing accept, socket and connect, interrupted waits, short reads and writes, steps of the wall clock by an hour.

--- a/src/downstream/sessions/client_listener.cpp
+++ b/src/downstream/sessions/client_listener.cpp
@@ -217,14 +217,17 @@
     const Micros stopped_for = now - stopping_since_;
     const bool may_stop_listening =
         stopped_for >= kMinListenTimeUs && now >= last_accepted_at_ + kListenTimeAfterArrivalUs;
-    if (listener_ && (has_successor_ || may_stop_listening)) stop_listening();
+    if (listener_ && (has_successor_ || may_stop_listening)) try_to_stop_listening();
     const bool close_all =
         stopped_for >= std::max(kMinListenTimeUs, longest_wait_ - kCloseAllBeforeLongestWaitUs);
     // A connection that is closed right after its response loses no query. With a successor, sessions close
     // this way from the start.
     context_.close_after_response = has_successor_ || close_all;
     const bool fail_all = stopped_for >= longest_wait_ + kFailAllAfterLongestWaitUs;
-    if (fail_all) stop_listening();
+    if (fail_all) {
+        try_to_stop_listening();
+        listener_.reset();
+    }
     for_each_session([&](ClientSession& session) {
         if (fail_all)
             session.fail_requests_and_finish(metrics::SessionEnd::stopping);
@@ -236,12 +239,11 @@
     continue_stop_.set(deadlines_, now + kStopIntervalUs, [this] { continue_stop(); });
 }
 
-void ClientListener::stop_listening() {
+// Closing the socket resets the connections that are still in the kernel's accept queue. If accept() fails, it
+// stays open until the next attempt to stop listening.
+void ClientListener::try_to_stop_listening() {
     resume_accepting_.clear();
-    if (!listener_) return;
-    // Closing the socket resets the connections that are still in the kernel's accept queue.
-    listener_->accept_pending();
-    listener_.reset();
+    if (listener_ && listener_->accept_pending()) listener_.reset();
 }
 
 void ClientListener::session_used(ClientSession& session) {
--- a/src/downstream/sessions/client_listener.h
+++ b/src/downstream/sessions/client_listener.h
@@ -63,7 +63,7 @@
     bool release_lingering_slot();
     void close_long_idle_sessions();
     void continue_stop();
-    void stop_listening();
+    void try_to_stop_listening();
     // Calls `visit` with each session until it returns false. `visit` may close the session.
     template <class Visit>
     void for_each_session(Visit visit);
