Answer the first request of clients that connect during a stop

Cause: from 0.8 s before the longest deadline on, each pass of the stop closed all sessions between requests, also those that had just been greeted. With clients that keep connecting, the listener stayed open until the last moment.

Change: a session that has sent no query is left open for 0.2 s after its connect, and the listener closes 0.8 s after SIGTERM at the latest, or 0.2 s before open requests fail.

--- a/src/app/ctl/fleet.cpp
+++ b/src/app/ctl/fleet.cpp
@@ -67,7 +67,9 @@
                                cxxopts::value<std::string>())(
         "program", "path of the sloestack to run (default: in the folder of sloestackctl)",
         cxxopts::value<std::string>())("keep", "keep the record even without --out")(
-        "json", "print the report as JSON");
+        "json", "print the report as JSON")(
+        "environment", "an environment variable NAME=value of the proxies; may be given several times",
+        cxxopts::value<std::vector<std::string>>());
     add_slack(options);
     const auto parsed = parse(options, arguments, {"file"});
     if (!parsed) return kSuccess;
@@ -86,6 +88,8 @@
                   .string();
     if (access(settings.proxy.c_str(), X_OK) != 0)
         throw UsageError(settings.proxy + " is not an executable file");
+    if (parsed->count("environment"))
+        settings.environment = (*parsed)["environment"].as<std::vector<std::string>>();
     settings.folder = run_folder(*parsed);
     fault_harness::Conductor(settings).run();
     const int out = print_verdict(fault_harness::evaluate(settings.folder, slack), parsed->count("json") > 0);
--- a/src/downstream/sessions/client_listener.cpp
+++ b/src/downstream/sessions/client_listener.cpp
@@ -22,8 +22,11 @@
 // no request may be open.
 constexpr Micros kMaxLongestWaitUs = 3'000'000;
 constexpr Micros kMinListenTimeUs = 500'000;           // load balancers may still send new clients
+constexpr Micros kMaxListenTimeUs = 800'000;           // however many clients still connect
 constexpr Micros kListenTimeAfterArrivalUs = 100'000;  // after the last client was accepted
-constexpr Micros kStopIdleTimeoutUs = 500'000;         // sessions idle for longer are closed early
+// A client that has connected is given this time to send its first query.
+constexpr Micros kFirstQueryGraceUs = 200'000;
+constexpr Micros kStopIdleTimeoutUs = 500'000;  // sessions idle for longer are closed early
 constexpr Micros kCloseAllBeforeLongestWaitUs = 800'000;
 constexpr Micros kFailAllAfterLongestWaitUs = 500'000;  // then open requests get an error response
 constexpr Micros kLastLingerUs = 100'000;
@@ -215,15 +218,18 @@
 void ClientListener::continue_stop() {
     const Time now = deadlines_.now();
     const Micros stopped_for = now - stopping_since_;
+    const Micros fail_all_after = longest_wait_ + kFailAllAfterLongestWaitUs;
+    const Micros max_listen_time = std::min(kMaxListenTimeUs, fail_all_after - kFirstQueryGraceUs);
     const bool may_stop_listening =
-        stopped_for >= kMinListenTimeUs && now >= last_accepted_at_ + kListenTimeAfterArrivalUs;
+        stopped_for >= kMinListenTimeUs &&
+        (now >= last_accepted_at_ + kListenTimeAfterArrivalUs || stopped_for >= max_listen_time);
     if (listener_ && (has_successor_ || may_stop_listening)) try_to_stop_listening();
     const bool close_all =
         stopped_for >= std::max(kMinListenTimeUs, longest_wait_ - kCloseAllBeforeLongestWaitUs);
     // A connection that is closed right after its response loses no query. With a successor, sessions close
     // this way from the start.
     context_.close_after_response = has_successor_ || close_all;
-    const bool fail_all = stopped_for >= longest_wait_ + kFailAllAfterLongestWaitUs;
+    const bool fail_all = stopped_for >= fail_all_after;
     if (fail_all) {
         try_to_stop_listening();
         listener_.reset();
@@ -231,7 +237,7 @@
     for_each_session([&](ClientSession& session) {
         if (fail_all)
             session.fail_requests_and_finish(metrics::SessionEnd::stopping);
-        else if (session.is_between_requests() &&
+        else if (session.is_between_requests() && !session.awaits_first_query(now - kFirstQueryGraceUs) &&
                  (close_all || session.last_active_at() < now - kStopIdleTimeoutUs))
             session.finish(metrics::SessionEnd::stopping);
         return true;
@@ -239,8 +245,8 @@
     continue_stop_.set(deadlines_, now + kStopIntervalUs, [this] { continue_stop(); });
 }
 
-// Closing the socket resets the connections that are still in the kernel's accept queue. If accept() fails, it
-// stays open until the next attempt to stop listening.
+// Closing the socket resets the connections that are still in the kernel's accept queue. If accept() fails,
+// it stays open until the next attempt to stop listening.
 void ClientListener::try_to_stop_listening() {
     resume_accepting_.clear();
     if (listener_ && listener_->accept_pending()) listener_.reset();
--- a/src/downstream/sessions/client_session.h
+++ b/src/downstream/sessions/client_session.h
@@ -51,6 +51,10 @@
     bool is_idle() const;
     // Returns true if the client has been connected for a while and has sent no query, not even part of one.
     bool is_idle_before_first_query() const;
+    // Returns true if the client connected after `connected_after` and has sent no query.
+    bool awaits_first_query(Time connected_after) const {
+        return !has_sent_query_ && timeouts_.connected_at() > connected_after;
+    }
     // Returns true if the client has sent a part of a message and has been silent since.
     bool is_stalled_in_message() const;
     bool is_ending() const { return state_ == State::finishing || state_ == State::closed; }
--- a/tests/integration/loopback.cpp
+++ b/tests/integration/loopback.cpp
@@ -72,10 +72,16 @@
 }
 
 Peer connect_to(std::uint16_t port) {
+    auto peer = try_to_connect_to(port);
+    EXPECT_TRUE(peer.is_open());
+    return peer;
+}
+
+Peer try_to_connect_to(std::uint16_t port) {
     const auto to = address(port);
     const int fd = socket(AF_INET, SOCK_STREAM, 0);
     Peer peer(fd);
-    EXPECT_EQ(connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to), 0);
+    if (connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0) peer.close();
     return peer;
 }
 
--- a/tests/integration/loopback.h
+++ b/tests/integration/loopback.h
@@ -52,6 +52,8 @@
 
 sockaddr_in address(std::uint16_t port);
 Peer connect_to(std::uint16_t port);
+/// The same; the connection is not open if nobody listens on the port.
+Peer try_to_connect_to(std::uint16_t port);
 
 /// A listening socket on a free loopback port, and all connections accepted from it.
 class Listener {
--- a/tests/process/proxy_process.h
+++ b/tests/process/proxy_process.h
@@ -43,6 +43,8 @@
 
     /// Connects a client, without sending anything.
     loopback::Peer connect() const { return loopback::connect_to(port_); }
+    /// The same; the connection is not open if the process does not listen any more.
+    loopback::Peer try_to_connect() const { return loopback::try_to_connect_to(port_); }
     /// Connects a client that sends its start-up message and one request.
     loopback::Peer connect_and_request(const std::string& id, Micros deadline,
                                        const char* request_class = "read") const;
--- /dev/null
+++ b/tests/process/shutdown_test.cpp
@@ -0,0 +1,62 @@
+// SIGTERM while clients go on connecting and sending.
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <list>
+#include <string>
+
+#include "proxy_process.h"
+
+namespace {
+
+using namespace process_test;
+using loopback::Peer;
+
+constexpr Micros kDeadline = 500 * kMillisecond;
+constexpr Micros kKillTimeout = kDeadline + 700 * kMillisecond;
+
+// A client that sends its first request as soon as the proxy has greeted it.
+struct NewClient {
+    Peer peer;
+    bool has_sent = false;
+    bool was_closed_before_its_request = false;
+};
+
+void advance(NewClient& client, int number) {
+    if (client.has_sent || client.was_closed_before_its_request || !is_ready(client.peer)) return;
+    client.was_closed_before_its_request = client.peer.ended;
+    client.has_sent = !client.peer.ended;
+    if (client.has_sent)
+        client.peer.send(integration::request_message("n" + std::to_string(number), "read", kDeadline));
+}
+
+ProcessOptions short_deadlines() {
+    ProcessOptions options;
+    for (auto& request_class : options.settings["classes"]) request_class["deadline-us"] = kDeadline;
+    return options;
+}
+
+TEST(Shutdown, ClientsThatConnectDuringAStopGetAnAnswerToTheirFirstRequest) {
+    ProxyProcess proxy(short_deadlines());
+    proxy.open_idle_endpoint_connections();
+    std::list<NewClient> clients;
+    const Time killed_at = proxy.now() + kKillTimeout;
+    proxy.signal(SIGTERM);
+    while (!proxy.has_exited() && proxy.now() < killed_at) {
+        if (auto peer = proxy.try_to_connect(); peer.is_open()) {
+            peer.send(integration::startup_message());
+            clients.push_back({std::move(peer)});
+        }
+        proxy.run_for(5 * kMillisecond);
+        int number = 0;
+        for (auto& client : clients) advance(client, ++number);
+    }
+    EXPECT_TRUE(proxy.has_exited());
+    EXPECT_GT(clients.size(), 50U);
+    for (auto& client : clients) {
+        EXPECT_FALSE(client.was_closed_before_its_request);
+        EXPECT_TRUE(!client.has_sent || has_row(client.peer) || has_error(client.peer, "53300"));
+    }
+}
+
+}  // namespace
