Let the decision module end a request before it counts as overdue in a late iteration

Seen: 'invariant broken: the decision module ends every request by its deadline' after SIGSTOP in a soak run; clients got 58000, which promises nothing, for idempotent reads that the decision module would have rejected with 53300.

Cause: in an iteration that runs 30 ms or more late the decision module's timer and the check that it has acted are due together, and the check ran before the module's step.

Change: a check that runs late is repeated in the next iteration.

Failed before, passes now: DelayedIteration.LeavesTheEndOfARequestToTheDecisionModule.

--- a/src/core/dispatch_loop/inputs.cpp
+++ b/src/core/dispatch_loop/inputs.cpp
@@ -21,8 +21,7 @@
     request.statement = std::move(submitted.statement);
     request.request_class = submitted.arrival.request_class;
     request.deadline = submitted.arrival.deadline;
-    request.overdue_check.set(deadlines_, request.deadline + kOverdueGraceUs,
-                              [this, overdue = id] { on_overdue(overdue); });
+    schedule_overdue_check(id, request, request.deadline + kOverdueGraceUs);
     queued_events_.emplace_back(submitted.arrival);
     return id;
 }
@@ -120,6 +119,15 @@
     queued_events_.emplace_back(decision::EndpointList{EndpointListKind::failed, nullptr, poll});
 }
 
+// If the check runs late, the decision module has not seen the deadline yet either: it gets one more iteration.
+void DispatchLoop::schedule_overdue_check(traffic::RequestId id, OpenRequest& request, Time at) {
+    request.overdue_check.set(deadlines_, at, [this, id, &request, at] {
+        const Time now = deadlines_.now();
+        if (now - at < kOverdueGraceUs) return on_overdue(id);
+        schedule_overdue_check(id, request, now);
+    });
+}
+
 // Fails a request that the decision module has not ended in time, so that a fault in the module cannot leave
 // a client without a response.
 void DispatchLoop::on_overdue(traffic::RequestId id) {
