--- a/emulator/checker.cpp
+++ b/emulator/checker.cpp
@@ -36,6 +36,9 @@
             if (kClasses[e.request_class].session && client.asked == 1) client.required = sessions_[e.key];
             return;
         }
+        case What::left:
+            clients_[e.id].left_at = e.at;
+            return;
         case What::answered:
             return answered(e);
         case What::arrived:
@@ -75,6 +78,7 @@
     const auto client = clients_.find(e.id);
     if (client != clients_.end() && ++client->second.attempts > rules_.most_attempts)
         add_violation("request " + e.id + " was sent " + std::to_string(client->second.attempts) + " times");
+    if (client != clients_.end()) check_client_waits(e, client->second);
     // If the event does not name the proxy, it is the one that the client sent the request to.
     const int proxy = e.proxy < 0 && client != clients_.end() ? client->second.proxy : e.proxy;
     const auto drains = drains_.find({proxy, e.member});
@@ -84,6 +88,15 @@
                       " ms after its drain was told");
 }
 
+void Checker::check_client_waits(const Event& e, const Client& client) {
+    if (client.left_at && e.since > client.left_at + rules_.leave_grace + rules_.slack)
+        add_violation("request " + e.id + " was sent" + by_proxy(client.proxy) + " " +
+                      std::to_string((e.since - client.left_at) / 1000) + " ms after its client had left");
+    if (e.until > client.until + rules_.deadline_excess + rules_.slack)
+        add_violation("request " + e.id + " was sent" + by_proxy(client.proxy) + " with " +
+                      std::to_string((e.until - client.until) / 1000) + " ms more time than its client has");
+}
+
 void Checker::ran(const Event& e) {
     const bool first = e.what == What::ran;
     first ? ++ran_ : ++repeats_;
@@ -159,7 +172,7 @@
         out.size() < kMaxSentences ? out.push_back(sentence) : void(++omitted);
     };
     for (const auto& [id, client] : clients_) {
-        if (is_excused(client)) continue;
+        if (is_excused(client) || client.left_at) continue;
         if (client.answers < client.asked)
             add("request " + id + " was never answered" + by_proxy(client.proxy));
         else if (client.dropped)
--- a/emulator/checker.h
+++ b/emulator/checker.h
@@ -17,6 +17,8 @@
     Time slack = 50'000;
     Time late = 500'000;  // a response that arrives this long after its client's deadline counts as too
                           // late; 0: not checked
+    Time leave_grace = 100'000;      // an attempt may begin this long after its client has left
+    Time deadline_excess = 150'000;  // by which the deadline stated to an endpoint may exceed the client's
     int most_attempts = 10;
 };
 
@@ -42,6 +44,7 @@
         Time commit = 0;       // commit time of a write
         std::string session;   // empty if the request belongs to no session
         Time required = 0;     // the commit that a read of a session must see
+        Time left_at = 0;      // when it closed its connection without waiting; 0: it waits
         bool late = false;     // the outcome was recorded too late
         bool dropped = false;  // its connection was closed without a response after it had been forwarded
     };
@@ -52,6 +55,7 @@
     void add_violation(const std::string& sentence);
     void ran(const Event& e);
     void arrived(const Event& e);
+    void check_client_waits(const Event& e, const Client& client);
     void answered(const Event& e);
     void process(const Event& e);
     bool is_excused(const Client& client) const;
--- a/emulator/event.cpp
+++ b/emulator/event.cpp
@@ -7,6 +7,7 @@
 NLOHMANN_JSON_SERIALIZE_ENUM(What, {{What::fault, "fault"},
                                     {What::asked, "asked"},
                                     {What::answered, "answered"},
+                                    {What::left, "left"},
                                     {What::arrived, "arrived"},
                                     {What::ran, "ran"},
                                     {What::repeated, "repeated"},
--- a/emulator/event.h
+++ b/emulator/event.h
@@ -19,7 +19,9 @@
     answered,  // the outcome of that request, `word`: served, refused, failed, none (no response came) or
                // unsent; `since`: arrival of the first attempt; `last`: no retry follows; `value`: digest of
                // the response if served
-    arrived,   // an endpoint received the last byte of an attempt; `since`: its first byte
+    left,      // a client closed its connection without waiting for the response to `id`
+    arrived,   // an endpoint received the last byte of an attempt; `since`: its first byte; `until`: the
+               // client's deadline as the proxy states it
     ran,       // an endpoint executed a statement; `since`, `until`: first and last byte of the attempt;
                // `position`: position of the data
     repeated,  // an endpoint dropped a write as a duplicate; fields as for `ran`
--- a/emulator/fleet.cpp
+++ b/emulator/fleet.cpp
@@ -526,6 +526,7 @@
     e.id = job->id;
     e.request_class = job->request_class;
     e.since = first_byte;
+    e.until = first_byte + job->deadline_at - now;
     event_sink_.saw(e);
     if (kClasses[job->request_class].write && group.primary(now) != m.index)
         return reject(m, connection, job->id, pgwire::code::kReadOnly, "no primary");
--- a/emulator/load.cpp
+++ b/emulator/load.cpp
@@ -54,8 +54,11 @@
     void send_request(PendingRequest asked) {
         pending_ = std::move(asked);
         deadline_at_ = load_.deadlines_.now() + pending_->request.left_ms * 1000;
-        timer_.set(load_.deadlines_, deadline_at_ + load_.settings_.grace,
-                   [this] { ended(sloestack::net::ConnectionEnd::error); });
+        if (load_.settings_.leave > 0 && load_.random_.unit() < load_.settings_.leave)
+            set_time_to_leave();
+        else
+            timer_.set(load_.deadlines_, deadline_at_ + load_.settings_.grace,
+                       [this] { ended(sloestack::net::ConnectionEnd::error); });
         is_resent_ = false;
         begin_attempt();
     }
@@ -97,7 +100,7 @@
             return begin_attempt();
         }
         timer_.clear();
-        if (!was_up) load_.on_unreachable(proxy_);
+        if (!was_up && !(pending_ && pending_->has_left)) load_.on_unreachable(proxy_);
         if (!pending_) return;
         // A request that was never written was not accepted; the outcome of one that was written is unknown.
         if (!is_sent_) {
@@ -112,6 +115,26 @@
     }
 
 private:
+    // The client leaves at a random time in the last nine tenths of its deadline, or at the deadline.
+    void set_time_to_leave() {
+        constexpr double kMinPatience = 0.1, kMaxPatience = 1.5;
+        const double patience = kMinPatience + (kMaxPatience - kMinPatience) * load_.random_.unit();
+        const auto left = static_cast<double>(pending_->request.left_ms * 1000) * std::min(1.0, patience);
+        timer_.set(load_.deadlines_, load_.deadlines_.now() + static_cast<Micros>(left), [this] { leave(); });
+    }
+    void leave() {
+        pending_->has_left = true;
+        if (is_sent_) {
+            Event e;
+            e.what = What::left;
+            e.at = load_.deadlines_.now();
+            e.proxy = proxy_;
+            e.id = pending_->request.id;
+            load_.event_sink_.saw(e);
+        }
+        is_resent_ = true;
+        ended(sloestack::net::ConnectionEnd::error);
+    }
     void greeted(conversation::ConnectionId, conversation::Time, const conversation::Digest&) override {
         if (pending_) write_request();
     }
@@ -215,6 +238,7 @@
         }
         PendingRequest asked;
         asked.request = home.generator.next();
+        asked.request.left_ms = timeout_us(asked.request.request_class) / 1000;
         asked.first_at = home.next_at;
         asked.home = home.proxy;
         home.next_at += std::max<std::int64_t>(
@@ -241,6 +265,11 @@
     assign(to, std::move(asked));
 }
 
+Micros Load::timeout_us(int request_class) const {
+    return static_cast<Micros>(static_cast<double>(kClasses[request_class].timeout_us) *
+                               settings_.deadline_ratio);
+}
+
 void Load::assign(int proxy, PendingRequest asked) {
     auto& to = *proxies_[static_cast<std::size_t>(proxy)];
     const auto free =
@@ -290,8 +319,9 @@
     const auto now = deadlines_.now();
     const auto& model = kClasses[asked.request.request_class];
     const bool safe = !model.write || a.kind == Kind::refused;
-    const auto left = asked.first_at + model.timeout_us - now;
-    const bool again = a.kind != Kind::served && safe && !asked.is_retry && left > kMaxBackoff;
+    const auto left = asked.first_at + timeout_us(asked.request.request_class) - now;
+    const bool again =
+        a.kind != Kind::served && safe && !asked.is_retry && !asked.has_left && left > kMaxBackoff;
     Event e;
     e.what = What::answered;
     e.at = now;
--- a/emulator/load.h
+++ b/emulator/load.h
@@ -55,6 +55,8 @@
     SessionSettings sessions;
     std::uint64_t seed = 1;
     std::size_t most_connections = 256;  // to each proxy
+    double leave = 0;           // share of the clients that close before their deadline if unanswered
+    double deadline_ratio = 1;  // of the deadlines, to those that the operators state
     double uneven = 1;  // the rate of a proxy varies between the mean divided and multiplied by about this
     std::vector<sockaddr_in> proxies;  // all proxies
     std::vector<int> homes;            // indices of the proxies whose clients this object runs
@@ -84,6 +86,7 @@
         Request request;
         std::int64_t first_at = 0;
         bool is_retry = false;
+        bool has_left = false;
         int home = 0;
     };
     struct Proxy {
@@ -107,6 +110,7 @@
     void generate_arrivals(Home& home);
     void send_request(PendingRequest asked);
     void assign(int proxy, PendingRequest asked);
+    Micros timeout_us(int request_class) const;
     void on_unreachable(int proxy);
     void on_reachable(int proxy);
     void answered(int proxy, const PendingRequest& asked,
--- a/fault_harness/conductor.cpp
+++ b/fault_harness/conductor.cpp
@@ -24,7 +24,7 @@
 constexpr int kListenersPerPart =
     8'000;  // a process may open some 20,000 descriptors and needs as many for connections as for listeners
 constexpr int kMaxEndpointParts = 6, kProxiesPerClientPart = 100, kMaxClientParts = 3;
-constexpr int kSockets = 1024, kMemoryMb = 192;  // the limits that the deployment page sets for scored days
+constexpr int kMemoryMb = 192;  // the limit that the deployment page sets for scored days
 
 }  // namespace
 
@@ -44,6 +44,7 @@
     bool killed = false;
     Time restart_at = 0;  // time of the scheduled restart; 0: none
     sloestack::Deadline restart_deadline;
+    sloestack::Deadline kill_deadline;
 };
 
 Conductor::Conductor(const RunSettings& settings)
@@ -157,9 +158,9 @@
     const auto& s = run_.plan.scenario;
     const auto host = host_of(run_.block, number);
     const auto name = "n" + std::to_string(number);
-    auto config = emulator::proxy_config(host + ":" + std::to_string(kProxyPort),
-                                         host + ":" + std::to_string(kDiscoveryPort),
-                                         emulator::Discovery::first_list(initial_endpoints_, host), kSockets);
+    auto config = emulator::proxy_config(
+        host + ":" + std::to_string(kProxyPort), host + ":" + std::to_string(kDiscoveryPort),
+        emulator::Discovery::first_list(initial_endpoints_, host), s.sockets);
     config["name"] = name;
     // Differs at each start, as on the platform, and is the same in each run with the same seed.
     const auto starts = proxies_[static_cast<std::size_t>(number)]->starts;
@@ -172,6 +173,9 @@
     config["settings"]["specifics"]["checks"] = s.fleet.checks ? "await" : "none";
     config["settings"]["specifics"]["patience-us"] = s.fleet.patience;
     if (s.sessions.share > 0) emulator::add_sessions(config, s.sessions.brought);
+    for (auto& request_class : config["settings"]["classes"])
+        request_class["deadline-us"] =
+            static_cast<Micros>(request_class["deadline-us"].get<double>() * s.deadline_ratio);
     std::ofstream out(config_path(number));
     out << config.dump();
     out.close();
@@ -183,7 +187,8 @@
     const auto path = settings_.folder + "/n" + std::to_string(number);
     Command command;
     command.arguments = {settings_.proxy, "serve"};
-    command.environment = {"EDGE_CONFIG=" + config_path(number)};
+    command.environment = settings_.environment;
+    command.environment.push_back("EDGE_CONFIG=" + config_path(number));
     command.log_path = path + ".log";
     proxy.process.start(command);
     ++proxy.starts;
@@ -211,6 +216,7 @@
 void Conductor::proxy_ended(int number, int status) {
     auto& proxy = *proxies_[static_cast<std::size_t>(number)];
     proxy.readiness.reset();
+    proxy.kill_deadline.clear();
     proxy.ready = false;
     const bool in_order = WIFEXITED(status) && WEXITSTATUS(status) == 0;
     if (!proxy.killed) record_process(number, proxy.exit_expected && in_order ? "ended" : "crashed");
@@ -233,12 +239,15 @@
             }
             continue;
         }
+        if (step.what == FaultKind::hup) {
+            proxy.process.signal(SIGHUP);
+            continue;
+        }
         if (step.what == FaultKind::stop) {
-            proxy.stopped = true;
-            record_process(p, "stopped");
-            proxy.process.signal(SIGSTOP);
+            stop_proxy(p);
             continue;
         }
+        continue_proxy(p);  // a stopped process would not handle the signal
         proxy.exit_expected = true;
         proxy.restart_at = run_.start_time + step.end_us;
         proxy.readiness.reset();
@@ -247,6 +256,9 @@
             record_process(p, "killed");
         } else {
             record_process(p, "terminating");
+            if (run_.plan.scenario.kill_after_term && !proxy.kill_deadline.is_set())
+                proxy.kill_deadline.set(deadlines_, deadlines_.now() + run_.plan.scenario.kill_timeout_us(),
+                                        [&proxy] { proxy.process.signal(SIGKILL); });
         }
         proxy.process.signal(step.what == FaultKind::kill ? SIGKILL : SIGTERM);
     }
@@ -255,13 +267,24 @@
 void Conductor::end(const FaultStep& step) {
     record_fault("ends: " + step.text());
     if (step.what != FaultKind::stop) return;
-    for (const int p : step.proxies) {
-        auto& proxy = *proxies_[static_cast<std::size_t>(p)];
-        if (!proxy.stopped) continue;
-        proxy.stopped = false;
-        proxy.process.signal(SIGCONT);
-        record_process(p, "continued");
-    }
+    for (const int p : step.proxies) continue_proxy(p);
+}
+
+// A process that is terminating is not stopped: its time until SIGKILL goes on.
+void Conductor::stop_proxy(int number) {
+    auto& proxy = *proxies_[static_cast<std::size_t>(number)];
+    if (proxy.exit_expected) return;
+    proxy.stopped = true;
+    record_process(number, "stopped");
+    proxy.process.signal(SIGSTOP);
+}
+
+void Conductor::continue_proxy(int number) {
+    auto& proxy = *proxies_[static_cast<std::size_t>(number)];
+    if (!proxy.stopped) return;
+    proxy.stopped = false;
+    proxy.process.signal(SIGCONT);
+    record_process(number, "continued");
 }
 
 void Conductor::schedule() {
--- a/fault_harness/conductor.h
+++ b/fault_harness/conductor.h
@@ -18,6 +18,7 @@
 struct RunSettings {
     std::string folder;  // must exist and be empty
     std::string proxy;   // path of the sloestack program; it is started with the argument "serve"
+    std::vector<std::string> environment;  // NAME=value, for the proxies
     Plan plan;
 };
 
@@ -46,6 +47,8 @@
     void schedule();
     void begin(const FaultStep& step);
     void end(const FaultStep& step);
+    void stop_proxy(int number);
+    void continue_proxy(int number);
     void record_process(int proxy, const char* word);
     void record_fault(const std::string& word);
     // Runs event-loop iterations until `is_done` returns true. Throws std::runtime_error with message `what`
--- a/fault_harness/part.cpp
+++ b/fault_harness/part.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "emulator/crowd.h"
 #include "fault_harness/channel.h"
 #include "fault_harness/folder.h"
 #include "fault_harness/record.h"
@@ -211,6 +212,7 @@
         channel_.send_line("over");
     }
     void on_step(const FaultStep& step, bool on) override {
+        if (step.what == FaultKind::client_crowd && part_ == 0) return apply_crowd(step, on);
         if (!load_ || !affects_edge(step, EdgePeer::clients)) return;
         for (const int p : step.proxies) {
             // Requests in flight at the start of the fault, or sent during it, may get no response; the
@@ -220,6 +222,14 @@
             apply(*load_, step, on, p);
         }
     }
+    void apply_crowd(const FaultStep& step, bool on) {
+        crowds_.clear();
+        if (!on) return;
+        for (const int p : step.proxies)
+            crowds_.push_back(std::make_unique<emulator::Crowd>(
+                loop_, deadlines_, proxy_address(run_.block, p), step.crowd_size,
+                emulator::mixed(run_.plan.seed, "crowd " + std::to_string(p))));
+    }
     // Only the first client process records it, so that it is recorded once.
     void record_process(int proxy, const char* word) {
         if (part_ != 0) return;
@@ -232,6 +242,7 @@
     }
     int part_;
     std::unique_ptr<emulator::Load> load_;
+    std::vector<std::unique_ptr<emulator::Crowd>> crowds_;
     bool over_reported_ = false;
 };
 
--- a/fault_harness/scenario.cpp
+++ b/fault_harness/scenario.cpp
@@ -26,6 +26,7 @@
 const std::pair<const char*, FaultKind> kFaultNames[] = {
     {"kill", FaultKind::kill},
     {"term", FaultKind::term},
+    {"hup", FaultKind::hup},
     {"stop", FaultKind::stop},
     {"cut", FaultKind::cut},
     {"reset", FaultKind::reset},
@@ -37,6 +38,7 @@
     {"discovery_behind", FaultKind::discovery_behind},
     {"discovery_gone", FaultKind::discovery_gone},
     {"discovery_silent", FaultKind::discovery_silent},
+    {"client_crowd", FaultKind::client_crowd},
     {"member_crash", FaultKind::member_crash},
     {"member_hang", FaultKind::member_hang},
     {"member_replace", FaultKind::member_replace},
@@ -70,9 +72,7 @@
     throw std::invalid_argument("scenario " + where + ": " + why);
 }
 
-bool affects_processes(FaultKind what) {
-    return what == FaultKind::kill || what == FaultKind::term || what == FaultKind::stop;
-}
+bool affects_processes(FaultKind what) { return what <= FaultKind::stop; }
 bool affects_edges(FaultKind what) { return what >= FaultKind::cut && what <= FaultKind::lose; }
 bool affects_endpoints(FaultKind what) { return what >= FaultKind::member_crash; }
 
@@ -114,7 +114,8 @@
     step.at_us = from_s(fault, "at_s", 0);
     const auto duration = from_s(fault, "for_s", 1), spread = from_s(fault, "spread_s", 0);
     step.end_us = step.at_us + duration;
-    if (affects_processes(step.what) || affects_edges(step.what))
+    step.crowd_size = fault.value("clients", 300);
+    if (affects_processes(step.what) || affects_edges(step.what) || step.what == FaultKind::client_crowd)
         step.proxies = select_targets(
             fault, "proxies", "zone", "share", s.proxies, [&](int p) { return zone_of(s, p); }, random);
     const auto edge = fault.value("edge", "members");
@@ -240,6 +241,10 @@
     f.checks = member.value("checks", true);  // as the operators' endpoints do
     f.cold.from = member.value("cold_from", 0.29);
     f.cold.warm_after = from_s(member, "warm_after_s", 18);
+    s.leave = file.value("leave", 0.0);
+    s.deadline_ratio = file.value("deadline_ratio", 1.0);
+    s.sockets = file.value("sockets", 1024);
+    s.kill_after_term = file.value("kill_after_term", false);
     const auto sessions = file.value("sessions", json::object());
     s.sessions.share = sessions.value("share", 0.0);
     s.sessions.writes = sessions.value("writes", 0.3);
@@ -255,6 +260,15 @@
     return s;
 }
 
+Micros Scenario::kill_timeout_us() const {
+    constexpr Micros kMaxLongestDeadlineUs = 3'000'000, kGraceUs = 700'000;
+    Micros longest_us = 0;
+    for (const auto& request_class : emulator::kClasses)
+        longest_us = std::max(longest_us, request_class.timeout_us);
+    const auto scaled_us = static_cast<Micros>(static_cast<double>(longest_us) * deadline_ratio);
+    return std::min(scaled_us, kMaxLongestDeadlineUs) + kGraceUs;
+}
+
 Plan draw(const Scenario& scenario, std::uint64_t seed) {
     Plan plan;
     plan.scenario = scenario;
@@ -306,6 +320,8 @@
     out.groups = s.fleet.banks;
     out.sessions = s.sessions;
     out.notice = s.notice_us;
+    out.leave = s.leave;
+    out.deadline_ratio = s.deadline_ratio;
     out.grace = kResponseGraceUs;
     out.seed = emulator::mixed(plan.seed, "load");
     for (int p = 0; p < s.proxies; ++p) {
--- a/fault_harness/scenario.h
+++ b/fault_harness/scenario.h
@@ -18,6 +18,7 @@
 enum class FaultKind {
     kill,   // SIGKILL; restarted at the end of the step
     term,   // SIGTERM; restarted at the end of the step, or on exit if that is later
+    hup,    // SIGHUP, which reloads an unchanged configuration
     stop,   // SIGSTOP, then SIGCONT at the end of the step
     cut,    // of an edge: no data passes and no connection is established
     reset,  // resets the connections of an edge once, at the start of the step
@@ -29,6 +30,7 @@
     discovery_behind,
     discovery_gone,
     discovery_silent,  // the watches open at the start of the step never get a response
+    client_crowd,      // clients that occupy connections and send no request
     member_crash,      // the endpoint is cold after its restart
     member_hang,
     member_replace,
@@ -47,6 +49,7 @@
     bool in = true, out = true;  // affected directions: towards the emulator, away from it
     emulator::Condition condition;
     double slow_times = 1;
+    int crowd_size = 0;        // connections to each proxy
     std::string text() const;  // description for records
 };
 
@@ -56,9 +59,16 @@
     Micros steady_from_us = 0, length_us = 0, notice_us = 1'000'000;
     emulator::FleetSettings fleet;
     emulator::SessionSettings sessions;
+    double leave = 0;           // share of the clients that leave before their deadline
+    double deadline_ratio = 1;  // of the classes' deadlines, to those that the operators state
+    int sockets = 1024;         // limit of descriptors of a proxy
+    // Whether a proxy that got SIGTERM gets SIGKILL at the earliest time that the operators allow.
+    bool kill_after_term = false;
     Micros poll_work_us = 0, entry_work_us = 0, max_queue_us = 0;
     std::string text;  // the file's contents
 
+    // The time from SIGTERM to SIGKILL.
+    Micros kill_timeout_us() const;
     // Parses JSON with comments. Throws std::invalid_argument naming the invalid part. `proxies` above 0
     // replaces the number in the file, and the number of replica groups is scaled in proportion.
     static Scenario read(const std::string& text, int proxies = 0);
--- a/tests/emulator/emulator_test.cpp
+++ b/tests/emulator/emulator_test.cpp
@@ -189,6 +189,26 @@
     EXPECT_TRUE(has_violation({process(3, "crashed", kNow)}, "proxy 3 crashed"));
 }
 
+TEST(Checker, AllowsNoAttemptAfterTheClientHasLeft) {
+    const auto left = event(What::left, "1", kNow);
+    auto sent = of_member(What::arrived, 0, 0, kNow + 200'000, "1");
+    sent.since = kNow + 150'000;  // the grace and the slack
+    EXPECT_TRUE(violations({ask("1"), left, sent}).empty());
+    ++sent.since;
+    EXPECT_TRUE(has_violation({ask("1"), left, sent}, "after its client had left"));
+    // A stopped proxy is no excuse.
+    EXPECT_TRUE(
+        has_violation({ask("1"), process(0, "stopped", kNow), left, sent}, "after its client had left"));
+}
+
+TEST(Checker, LimitsTheDeadlineStatedToAnEndpoint) {
+    auto sent = of_member(What::arrived, 0, 0, kNow, "1");
+    sent.until = ask("1").until + 200'000;  // the permitted excess and the slack
+    EXPECT_TRUE(violations({ask("1"), sent, answer("1", "failed")}).empty());
+    ++sent.until;
+    EXPECT_TRUE(has_violation({ask("1"), sent, answer("1", "failed")}, "more time than its client has"));
+}
+
 TEST(Checker, LimitsExecutionsOfAWriteAndAttemptsOfARequest) {
     auto repeat = run("2", "k");
     repeat.what = What::repeated;
--- a/tests/fault_harness/scenario_test.cpp
+++ b/tests/fault_harness/scenario_test.cpp
@@ -38,6 +38,11 @@
     EXPECT_EQ(Scenario::read(make_scenario(""), 1).fleet.banks, 1);
 }
 
+TEST(Scenario, KillsATerminatingProxyAtTheEarliestAllowedTime) {
+    EXPECT_EQ(Scenario::read(make_scenario("")).kill_timeout_us(), 3'700'000);  // the longest deadline is 5 s
+    EXPECT_EQ(Scenario::read(make_scenario("", R"("deadline_ratio": 0.1, )")).kill_timeout_us(), 1'200'000);
+}
+
 TEST(Scenario, NamesTheInvalidPart) {
     EXPECT_NE(read_error("{").find("not valid JSON"), std::string::npos);
     EXPECT_NE(read_error(R"({"version": 1})").find("Missing required property"), std::string::npos);
