Keep a greeted client until it can have sent its first query, also without descriptors

Cause: without a free descriptor, first sessions without a query are closed that connected 50 ms ago, then idle ones; a session that had just been greeted counted as idle too, whatever its age.

Change: only sessions that have sent a query count as idle; a new one is kept for its 50 ms.

Failed before, passes now: DescriptorLimits.KeepsAGreetedClientUntilItCanHaveSentItsFirstQuery. DescriptorLimits.IdleClientsLeaveDescriptorsForDiscoveryAndEndpoints, whose clock stands still while its last client connects, lets 0.4 s pass before that; all its expectations are unchanged. ProxyHarness counts ReadyForQuery by messages, not by the letter Z, which the cancel key may contain.

--- a/src/downstream/sessions/client_listener.cpp
+++ b/src/downstream/sessions/client_listener.cpp
@@ -75,13 +75,12 @@
 // only its own number of connections.
 void ClientListener::close_long_idle_sessions() {
     const Time now = deadlines_.now();
-    auto idle_count = std::count_if(sessions_.begin(), sessions_.end(), [](const auto& session) {
-        return session->has_sent_query() && session->is_idle();
-    });
+    auto idle_count = std::count_if(sessions_.begin(), sessions_.end(),
+                                    [](const auto& session) { return session->is_idle_after_query(); });
     for_each_session([&](ClientSession& session) {
         if (idle_count * kIdleQuotaDivisor <= client_quota_.limit()) return false;
-        const bool is_long_idle = session.has_sent_query() &&
-                                  session.last_active_at() <= now - kExcessIdleTimeoutUs && session.is_idle();
+        const bool is_long_idle =
+            session.last_active_at() <= now - kExcessIdleTimeoutUs && session.is_idle_after_query();
         if (is_long_idle) {
             session.finish(metrics::SessionEnd::idle);
             --idle_count;
@@ -155,7 +154,7 @@
     for (const auto& session : sessions_) {
         if (session->is_lingering())
             ++lingering;
-        else if (session->is_idle())
+        else if (session->is_idle_after_query())
             ++idle;
         else if (!session->has_sent_query())
             ++without_query;
@@ -171,8 +170,9 @@
 // has stopped in the middle of a message: hundreds of such clients must not keep other clients out.
 bool ClientListener::close_one_idle_session() {
     if (lingering_quota_.is_full() && !release_lingering_slot()) return false;
-    for (const auto may_close : {&ClientSession::is_idle_before_first_query, &ClientSession::is_idle,
-                                 &ClientSession::is_stalled_in_message}) {
+    for (const auto may_close :
+         {&ClientSession::is_idle_before_first_query, &ClientSession::is_idle_after_query,
+          &ClientSession::is_stalled_in_message}) {
         for (auto& session : sessions_) {
             if ((session.get()->*may_close)()) {
                 session->displace();
@@ -196,7 +196,7 @@
     int excess = client_quota_.in_use() - client_quota_.limit();
     for_each_session([&](ClientSession& session) {
         if (excess <= 0) return false;
-        if (session.is_idle()) {
+        if (session.is_idle_after_query() || session.is_idle_before_first_query()) {
             session.finish(metrics::SessionEnd::displaced);
             --excess;
         }
--- a/src/downstream/sessions/client_session.cpp
+++ b/src/downstream/sessions/client_session.cpp
@@ -47,7 +47,9 @@
 
 bool ClientSession::is_between_requests() const { return state_ == State::open && has_no_input(); }
 
-bool ClientSession::is_idle() const { return is_between_requests() && connection_->unwritten_bytes() == 0; }
+bool ClientSession::is_idle_after_query() const {
+    return has_sent_query_ && is_between_requests() && connection_->unwritten_bytes() == 0;
+}
 
 bool ClientSession::is_idle_before_first_query() const {
     if (is_ending() || has_sent_query_) return false;
--- a/src/downstream/sessions/client_session.h
+++ b/src/downstream/sessions/client_session.h
@@ -47,8 +47,8 @@
     // Returns true if no request is open and no input is waiting to be read, so that closing loses no
     // request.
     bool is_between_requests() const;
-    // The same, and the kernel has taken the last response.
-    bool is_idle() const;
+    // The same after the client's first query or later, and the kernel has taken the last response.
+    bool is_idle_after_query() const;
     // Returns true if the client has been connected for a while and has sent no query, not even part of one.
     bool is_idle_before_first_query() const;
     // Returns true if the client connected after `connected_after` and has sent no query.
--- a/tests/integration/descriptor_limits_test.cpp
+++ b/tests/integration/descriptor_limits_test.cpp
@@ -39,6 +39,7 @@
     proxy.run();
     proxy.clock.advance(100'000);
     proxy.run(40);
+    proxy.run_for(400'000);  // each of the waiting clients is kept for 50 ms after its connect
     proxy.connect();
     proxy.send_request("read");
     proxy.run_until([&] { return !proxy.queries.empty(); });
@@ -47,4 +48,25 @@
     proxy.run_until([&] { return proxy.response_count() == 1; });
 }
 
+// All other sessions are in use: the only idle one is that of the client that has just been greeted.
+TEST(DescriptorLimits, KeepsAGreetedClientUntilItCanHaveSentItsFirstQuery) {
+    ProxyHarness proxy(make_settings(), 64);
+    proxy.establish_long_poll();
+    const auto startup = startup_message();
+    const auto part = proxy.make_request("read").substr(0, 20);
+    std::vector<loopback::Peer> busy;
+    for (int i = 1; i < sloestack::net::divide_descriptors(64).clients; ++i) {
+        busy.push_back(loopback::connect_to(proxy.port()));
+        busy.back().send(startup + part);
+        proxy.run();
+    }
+    proxy.connect();
+    auto next = loopback::connect_to(proxy.port());
+    next.send(startup);
+    proxy.run();
+    EXPECT_FALSE(proxy.client.ended);
+    proxy.send_request("read");
+    proxy.run_until([&] { return !proxy.queries.empty(); });
+}
+
 }  // namespace
--- a/tests/integration/proxy_harness.cpp
+++ b/tests/integration/proxy_harness.cpp
@@ -1,6 +1,5 @@
 #include "proxy_harness.h"
 
-#include <algorithm>
 #include <csignal>
 #include <string_view>
 
@@ -31,7 +30,7 @@
 void ProxyHarness::connect() {
     client = loopback::connect_to(server_.port());
     client.send(startup_message());
-    run_until([this] { return ready_count() == 1; });
+    run_until([this] { return count_received().ready == 1; });
 }
 
 void ProxyHarness::send_request(const char* request_class) {
@@ -100,9 +99,9 @@
 // ---- observations ----
 
 // Also stores the client's BackendKeyData, for cancel requests.
-int ProxyHarness::response_count() {
+ProxyHarness::ReceivedCounts ProxyHarness::count_received() {
     client.read();
-    int responses = 0;
+    ReceivedCounts counts;
     bool response_begun = false;
     std::string_view unread = client.received;
     try {
@@ -113,20 +112,15 @@
                 cancel_key_.first = fields.int32();
                 cancel_key_.second = fields.int32();
             }
-            if (message->type == 'Z' && response_begun) {
-                ++responses;
-                response_begun = false;
+            if (message->type == 'Z') {
+                ++counts.ready;
+                if (std::exchange(response_begun, false)) ++counts.responses;
             }
             unread.remove_prefix(message->size);
         }
     } catch (const pgwire::ProtocolError&) {
     }
-    return responses;
-}
-
-int ProxyHarness::ready_count() {
-    response_count();
-    return static_cast<int>(std::count(client.received.begin(), client.received.end(), 'Z'));
+    return counts;
 }
 
 }  // namespace integration
--- a/tests/integration/proxy_harness.h
+++ b/tests/integration/proxy_harness.h
@@ -53,14 +53,19 @@
     bool is_stopped() const { return server_.is_stopped(); }
     std::uint16_t port() const { return server_.port(); }
     /// Returns the number of complete responses that the client has received.
-    int response_count();
+    int response_count() { return count_received().responses; }
 
     loopback::ManualClock clock;
     loopback::Peer client;
     int request_count = 0;
 
 private:
-    int ready_count();
+    /// What the client has received: ReadyForQuery messages and complete responses.
+    struct ReceivedCounts {
+        int ready = 0;
+        int responses = 0;
+    };
+    ReceivedCounts count_received();
     sloestack::config::Config read_config();
 
     nlohmann::json settings_;
--- a/tests/integration/shutdown_test.cpp
+++ b/tests/integration/shutdown_test.cpp
@@ -110,7 +110,7 @@
     ASSERT_TRUE(last.received.empty()) << "the connection was accepted too early";
     raise(SIGTERM);
     proxy.run();
-    proxy.clock.advance(650'000);  // the time at which the listener closes
+    proxy.clock.advance(650'000);                                    // the time at which the listener closes
     for (auto& session : busy) session.send(request.substr(20, 1));  // still sending: is not displaced
     proxy.run(40);
     last.read();
