Start slowly an endpoint whose stated start cannot be right by this process's clock

Related path of the incident (times taken from another machine at face value), found by reading: discovery states an endpoint's start by that machine's wall clock. After a step back by an hour a restarted endpoint seemed to have run for an hour and got full load at once; after a step forward it was held in slow start for an hour.

Change: a start in the future counts as now. A start that is listed only now, but that would have had to be listed 10 s or more before the last list, counts as now too. A start is recognised by a change of the stated time, not by a later one.

Also, poll() for a FIN is repeated after EINTR.

--- a/src/decision/endpoint.h
+++ b/src/decision/endpoint.h
@@ -56,6 +56,7 @@
     bool is_in_subset = true;  // preferred over endpoints outside this router's subset
     // When discovery first reported it draining, or removed if removal is not advisory; -1: in service.
     Time removal_notified_at = -1;
+    Time listed_started_at = 0;  // by the endpoint's own wall clock; 0: no start was listed
 
     // Maintained by primary_tracker.
     Role role = Role::unknown;
--- a/src/decision/endpoint_registry.cpp
+++ b/src/decision/endpoint_registry.cpp
@@ -8,6 +8,7 @@
 namespace sloestack::decision {
 namespace {
 
+constexpr Micros kMaxListingDelayUs = 10'000'000;   // from a start until discovery lists it
 constexpr Micros kRemovedRetentionUs = 60'000'000;  // bounds memory if endpoints are replaced continually
 
 }  // namespace
@@ -15,7 +16,8 @@
 void EndpointRegistry::apply(EndpointListKind kind, const std::vector<EndpointEntry>& entries,
                              Actions& actions) {
     if (kind != EndpointListKind::changes) remove_unlisted(entries, actions);
-    for (const auto& entry : entries) apply(entry, actions);
+    for (const auto& entry : entries) apply(kind, entry, actions);
+    last_list_at_ = state_.now;
     for (const auto& [id, group] : state_.groups) update_subset(group);
 }
 
@@ -26,16 +28,16 @@
     }
 }
 
-void EndpointRegistry::apply(const EndpointEntry& entry, Actions& actions) {
+void EndpointRegistry::apply(EndpointListKind kind, const EndpointEntry& entry, Actions& actions) {
     const bool is_removed = entry.state == EndpointState::removed;
     if (is_removed && !state_.find_endpoint(entry.endpoint)) return;
     auto& endpoint = find_or_add(entry);
     if (is_removed) return remove(endpoint, actions);
-    const bool has_restarted = entry.started_at > 0 && entry.started_at > endpoint.slow_start.started_at;
-    if (has_restarted && state_.now - entry.started_at < state_.settings.slow_start_duration_us) {
-        SlowStart::begin(endpoint, entry.started_at);
+    if (const auto started_at = recent_start(kind, entry, endpoint)) {
+        SlowStart::begin(endpoint, *started_at);
         endpoint.outlier.next_trial_at = state_.now;  // it has restarted: try it at once
     }
+    if (entry.started_at > 0) endpoint.listed_started_at = entry.started_at;
     const bool was_leaving = endpoint.is_leaving();
     endpoint.is_draining = entry.state == EndpointState::draining;
     if (!endpoint.is_draining)
@@ -48,6 +50,20 @@
         group.primary = endpoint.id;
 }
 
+// The start is stated by the endpoint's wall clock, which may differ from this process's after a step. A
+// start in the future counts as now, and so does one that is listed only now but would have had to be listed
+// before.
+std::optional<Time> EndpointRegistry::recent_start(EndpointListKind kind, const EndpointEntry& entry,
+                                                   const Endpoint& endpoint) const {
+    if (entry.started_at <= 0 || entry.started_at == endpoint.listed_started_at) return std::nullopt;
+    const Micros age = state_.now - entry.started_at;
+    if (age < state_.settings.slow_start_duration_us) return std::min(entry.started_at, state_.now);
+    const bool is_new = kind == EndpointListKind::changes || endpoint.listed_started_at > 0;
+    if (last_list_at_ < 0 || !is_new) return std::nullopt;
+    const Micros max_age = state_.now - last_list_at_ + kMaxListingDelayUs;
+    return age > max_age ? std::optional(state_.now) : std::nullopt;
+}
+
 Endpoint& EndpointRegistry::find_or_add(const EndpointEntry& entry) {
     if (auto* known = state_.find_endpoint(entry.endpoint)) return *known;
     auto& endpoint = state_.endpoints[entry.endpoint];
--- a/src/decision/endpoint_registry.h
+++ b/src/decision/endpoint_registry.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 
 #include "primary_tracker.h"
 #include "router_state.h"
@@ -23,7 +24,10 @@
 
 private:
     void remove_unlisted(const std::vector<EndpointEntry>& entries, Actions& actions);
-    void apply(const EndpointEntry& entry, Actions& actions);
+    void apply(EndpointListKind kind, const EndpointEntry& entry, Actions& actions);
+    // Returns when the endpoint has started if that is recent and `entry` is the first to list it.
+    std::optional<Time> recent_start(EndpointListKind kind, const EndpointEntry& entry,
+                                     const Endpoint& endpoint) const;
     Endpoint& find_or_add(const EndpointEntry& entry);
     void remove(Endpoint& endpoint, Actions& actions);
     void update_subset(const ReplicaGroup& group);
@@ -31,6 +35,7 @@
     RouterState& state_;
     PrimaryTracker& primary_tracker_;
     std::uint64_t subset_key_;
+    Time last_list_at_ = -1;  // -1: no list has been applied
 };
 
 }  // namespace sloestack::decision
--- a/src/net/transport/connection.cpp
+++ b/src/net/transport/connection.cpp
@@ -219,7 +219,11 @@
 
 bool Connection::peer_has_closed() const {
     pollfd request{bufferevent_getfd(bev_.get()), POLLRDHUP, 0};
-    return poll(&request, 1, 0) > 0 && (request.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    int ready = 0;
+    do {
+        ready = poll(&request, 1, 0);
+    } while (ready < 0 && errno == EINTR);
+    return ready > 0 && (request.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
 Listener::Listener(Loop& loop, const sockaddr_in& at, std::function<void(evutil_socket_t)> accepted,
--- a/tests/decision/slow_start_test.cpp
+++ b/tests/decision/slow_start_test.cpp
@@ -25,6 +25,41 @@
     EXPECT_LE(to_new_endpoint, 1);
 }
 
+// The endpoint's wall clock is an hour off, forward or back; it has restarted all the same.
+TEST(SlowStart, AppliesToARestartStatedByAClockThatWasStepped) {
+    constexpr Micros kHour = 3'600'000'000;
+    for (const Micros offset : {-kHour, kHour}) {
+        RouterFixture fixture(default_settings(), 2);
+        fixture.fire_timer(2 * kHour);
+        fixture.endpoint_list(EndpointListKind::changes, {make_entry(1)});
+        fixture.step(1000);
+        auto entry = make_entry(9);
+        entry.started_at = fixture.now + offset;
+        fixture.endpoint_list(EndpointListKind::changes, {entry});
+        for (RequestId id = 1; id <= 100; ++id) fixture.arrive(id, kAnyRead);
+        fixture.step(1000);
+        int to_new_endpoint = 0;
+        for (RequestId id = 1; id <= 100; ++id) to_new_endpoint += fixture.forwarded_to(id) == 9u;
+        EXPECT_LE(to_new_endpoint, 1) << offset;
+    }
+}
+
+TEST(SlowStart, EndsInTimeForAStartStatedInTheFuture) {
+    constexpr Micros kHour = 3'600'000'000;
+    const auto settings = default_settings();
+    RouterFixture fixture(settings, 2);
+    auto entry = make_entry(9);
+    entry.started_at = fixture.now + kHour;
+    fixture.endpoint_list(EndpointListKind::changes, {entry});
+    fixture.step(1000);
+    fixture.fire_timer(settings.slow_start_duration_us);
+    for (RequestId id = 1; id <= 100; ++id) fixture.arrive(id, kAnyRead);
+    fixture.step(1000);
+    int to_new_endpoint = 0;
+    for (RequestId id = 1; id <= 100; ++id) to_new_endpoint += fixture.forwarded_to(id) == 9u;
+    EXPECT_GT(to_new_endpoint, 10);
+}
+
 // Guards against a burst at a starting endpoint from single requests of many routers (incidents ia49149 and
 // i80684d).
 TEST(SlowStart, KeepsManyRoutersTogetherWithinTheBudget) {
