--- a/emulator/edge.h
+++ b/emulator/edge.h
@@ -13,6 +13,7 @@
 #include "emulator/event.h"
 #include "emulator/values.h"
 #include "transport/connection.h"
+#include "transport/listener.h"
 
 namespace emulator {
 
--- a/src/admin/admin_server/admin_server.h
+++ b/src/admin/admin_server/admin_server.h
@@ -12,6 +12,7 @@
 #include "deadlines/deadlines.h"
 #include "http/request.h"
 #include "transport/connection.h"
+#include "transport/listener.h"
 
 namespace sloestack::admin {
 
--- a/src/downstream/sessions/client_listener.h
+++ b/src/downstream/sessions/client_listener.h
@@ -9,6 +9,7 @@
 
 #include "sessions/client_session.h"
 #include "transport/descriptor_quota.h"
+#include "transport/listener.h"
 
 namespace sloestack::downstream {
 
--- a/src/state/hot_restart/hot_restart.h
+++ b/src/state/hot_restart/hot_restart.h
@@ -16,6 +16,7 @@
 #include "hot_restart/acknowledgement_tracker.h"
 #include "hot_restart/peer_connection.h"
 #include "transport/connection.h"
+#include "transport/listener.h"
 
 namespace sloestack::hot_restart {
 
