--- a/src/core/dispatch_loop/inputs.cpp
+++ b/src/core/dispatch_loop/inputs.cpp
@@ -119,7 +119,8 @@
     queued_events_.emplace_back(decision::EndpointList{EndpointListKind::failed, nullptr, poll});
 }
 
-// If the check runs late, the decision module has not seen the deadline yet either: it gets one more iteration.
+// If the check runs late, the decision module has not seen the deadline yet either: it gets one more
+// iteration.
 void DispatchLoop::schedule_overdue_check(traffic::RequestId id, OpenRequest& request, Time at) {
     request.overdue_check.set(deadlines_, at, [this, id, &request, at] {
         const Time now = deadlines_.now();
