Give the decision module its step before a request counts as overdue, however late

The earlier fix let the check pass only if it ran 30 ms late; between 0 and 30 ms the module's timer and the check were still due together. The check now always leaves one iteration between.

--- a/src/core/dispatch_loop/dispatch_loop.h
+++ b/src/core/dispatch_loop/dispatch_loop.h
@@ -74,7 +74,7 @@
     void step();
     void respond(traffic::RequestId id, const OpenRequest& request,
                  const std::optional<traffic::ResultValue>& value);
-    void schedule_overdue_check(traffic::RequestId id, OpenRequest& request, Time at);
+    void schedule_overdue_check(traffic::RequestId id, OpenRequest& request);
     void on_overdue(traffic::RequestId id);
 
     void execute(const decision::Forward& forward);
--- a/src/core/dispatch_loop/inputs.cpp
+++ b/src/core/dispatch_loop/inputs.cpp
@@ -21,7 +21,7 @@
     request.statement = std::move(submitted.statement);
     request.request_class = submitted.arrival.request_class;
     request.deadline = submitted.arrival.deadline;
-    schedule_overdue_check(id, request, request.deadline + kOverdueGraceUs);
+    schedule_overdue_check(id, request);
     queued_events_.emplace_back(submitted.arrival);
     return id;
 }
@@ -119,13 +119,11 @@
     queued_events_.emplace_back(decision::EndpointList{EndpointListKind::failed, nullptr, poll});
 }
 
-// If the check runs late, the decision module has not seen the deadline yet either: it gets one more
-// iteration.
-void DispatchLoop::schedule_overdue_check(traffic::RequestId id, OpenRequest& request, Time at) {
-    request.overdue_check.set(deadlines_, at, [this, id, &request, at] {
-        const Time now = deadlines_.now();
-        if (now - at < kOverdueGraceUs) return on_overdue(id);
-        schedule_overdue_check(id, request, now);
+// In an iteration that runs late, the decision module's timer may be due together with the check: the module
+// gets its step before the request counts as overdue.
+void DispatchLoop::schedule_overdue_check(traffic::RequestId id, OpenRequest& request) {
+    request.overdue_check.set(deadlines_, request.deadline + kOverdueGraceUs, [this, id, &request] {
+        request.overdue_check.set(deadlines_, deadlines_.now(), [this, id] { on_overdue(id); });
     });
 }
 
