--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -106,6 +106,11 @@
         record().line("client: %s never answered", ids[static_cast<std::size_t>(i)].c_str());
     record().line("client: last answer %lld ms after sending",
                   static_cast<long long>((last_at - sent_at) / 1000));
+    if (answered < kWrites) {
+        ClientConnection again;
+        record().line("client: a new connection to the proxy %s",
+                      again.open(port) ? "is accepted" : "is refused");
+    }
     platform.join();
     record_log(log, "n1");
     if (answered < kWrites)
--- a/review/common/standin.h
+++ b/review/common/standin.h
@@ -419,6 +419,8 @@
         }).detach();
     }
     int port() const { return port_; }
+    // Connections that stay idle for longer are closed.
+    void set_idle_limit_ms(std::int64_t limit) { idle_limit_us_ = limit * 1000; }
 
 private:
     void serve(int fd) {
@@ -442,7 +444,8 @@
         return true;
     }
     bool serve_query(int fd, std::string& in) {
-        if (fill(fd, in, 5, kNever) != ReadEnd::ok) return false;
+        const auto idle_limit = idle_limit_us_.load();
+        if (fill(fd, in, 5, idle_limit > 0 ? now_us() + idle_limit : kNever) != ReadEnd::ok) return false;
         const auto size = std::size_t{1} + int32_at(in, 1);
         if (fill(fd, in, size, kNever) != ReadEnd::ok) return false;
         const auto arrived = now_us();
@@ -457,6 +460,7 @@
     int port_ = 0;
     Handler handle_;
     std::function<std::int64_t()> startup_delay_ms_;
+    std::atomic<std::int64_t> idle_limit_us_{0};
 };
 
 // ---- Clients ----
