--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -9,4 +9,7 @@
     echo "run review/build.sh first"
     exit 2
 fi
-exec timeout --signal=KILL 115 "$program" "$case_folder" "$root"
+timeout --signal=KILL 115 "$program" "$case_folder" "$root"
+result=$?
+[[ $result -le 2 ]] || result=2 # it was ended: the case could not run
+exit "$result"
