--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,6 +1,6 @@
 // A client sends several writes at once on one connection; soon after, the proxy is told to end by SIGTERM.
 // Counts the writes that never get an answer.
-#include "../common/settings.h"
+#include "../settings.h"
 
 namespace {
 
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,6 +1,6 @@
 // Clients of a class with sessions write and read their own row, while the platform starts a new version of
 // the proxy beside the old one and then ends the old one. Counts the reads that miss the session's own write.
-#include "../common/settings.h"
+#include "../settings.h"
 
 namespace {
 
--- a/review/common/standin.h
+++ b/review/standin.h
@@ -561,20 +561,18 @@
 // ---- One deployment ----
 
 struct Case {
-    std::string folder;  // of the case
-    std::string root;    // of the repository
-    std::string temp;    // private, removed at the end
-    std::string run;     // the deploy file's command
+    std::string root;  // of the repository
+    std::string temp;  // private, removed at the end
+    std::string run;   // the deploy file's command
 };
 
-// argv: the folder of the case, the root of the repository.
+// argv: the path of record.txt, the root of the repository.
 inline Case begin_case(int argc, char** argv) {
     signal(SIGPIPE, SIG_IGN);
-    if (argc != 3) finish(kCannotRun, "usage: CASE_FOLDER ROOT");
+    if (argc != 3) finish(kCannotRun, "usage: RECORD ROOT");
     Case out;
-    out.folder = argv[1];
     out.root = argv[2];
-    record().open(out.folder + "/record.txt");
+    record().open(argv[1]);
     std::string temp = env_or("TMPDIR", "/tmp") + "/review-XXXXXX";
     if (!mkdtemp(temp.data())) finish(kCannotRun, "no temporary folder");
     setenv("REVIEW_TMP", temp.c_str(), 1);
