Answer queries that a half-closed client has sent before its end of input

Callers saw: a client that sent reads and a write at once, shut down its sending side and read slowly got no answer to the write; the proxy closed the connection after the reads' responses. Cause: while more than 72 KiB wait for a client, its input is not read. ClientSession::read_messages took "the input has ended and no response is open" for "nothing is left to read" and finished the session, which discards unread input. Change: the session finishes only if it is not waiting for its output; drained() reads on. Evidence: LargeValues.RespondsToAQueryOfAHalfClosedClientThatReadsSlowly timed out waiting for the write at the endpoint before the change, and passes with it.

--- a/src/downstream/sessions/client_session.cpp
+++ b/src/downstream/sessions/client_session.cpp
@@ -45,6 +45,10 @@
     return responses_.empty() && !framer_.has_partial_message() && connection_->has_nothing_to_read();
 }
 
+bool ClientSession::is_output_full() const {
+    return connection_ && connection_->unwritten_bytes() > kMaxUnwrittenBytes;
+}
+
 bool ClientSession::is_between_requests() const { return state_ == State::open && has_no_input(); }
 
 bool ClientSession::is_idle_after_query() const {
@@ -110,14 +114,15 @@
                          error.what());
     }
     is_reading_ = false;
-    if (input_has_ended_ && responses_.empty() && !resume_reading_.is_set() && state_ != State::closed)
+    const bool continues_later = resume_reading_.is_set() || is_output_full();
+    if (input_has_ended_ && responses_.empty() && !continues_later && state_ != State::closed)
         finish(metrics::SessionEnd::client_closed);
     renew_timeout();
 }
 
 bool ClientSession::read_message() {
     if (is_ending()) return false;
-    if (connection_->unwritten_bytes() > kMaxUnwrittenBytes) return false;  // continues in drained()
+    if (is_output_full()) return false;  // continues in drained()
     if (!responses_.empty() && !next_query_may_overlap()) return false;
     if (framer_.in_large_statement()) return continue_large_statement();
     if (state_ == State::open) {
--- a/src/downstream/sessions/client_session.h
+++ b/src/downstream/sessions/client_session.h
@@ -103,6 +103,8 @@
     bool continue_large_statement();
     bool next_query_may_overlap() const;
     bool has_no_input() const;
+    // Returns true while no input is read because the client is slow to read its responses.
+    bool is_output_full() const;
     // Returns how long the newest input may have waited in the kernel.
     Micros input_age() const;
 
--- a/tests/integration/large_value_scenarios.cpp
+++ b/tests/integration/large_value_scenarios.cpp
@@ -121,4 +121,24 @@
         a expect auth_ok)");
 }
 
+// A query was discarded if its client had ended its input and was slow to read the responses before it.
+TEST(LargeValues, RespondsToAQueryOfAHalfClosedClientThatReadsSlowly) {
+    play({}, R"(
+        a send startup read:1 read:2 write:3 half_close
+        a expect auth_ok ready
+        m1.1 expect startup
+        m1.1 send auth_ok
+        m1.1 expect query:id=1
+        m1.2 expect startup
+        m1.2 send auth_ok
+        m1.2 expect query:id=2
+        m1.2 send large:60000
+        m1.2 wait 50
+        m1.1 send large:60000
+        a expect large:60000 ready large:60000 ready
+        m1.2 expect query:id=3
+        m1.2 send row:v
+        a expect row:v ready end)");
+}
+
 }  // namespace
