Answer every query that was read or waits unread when a session is finished

Cause: ClientSession::finish discards unread input. That is right between requests, but two callers use it behind open ones: the end of a stop (fail_requests_and_finish answers only queries that have been submitted; those behind an open write wait in the framer and in the kernel), and a session beyond the clients' limit, which rejected its first query and finished although others had been read with it. Change: both set the session to reject all further queries as they are read, and it finishes once no input is left. At a stop this lasts 50 ms, within the time before the kill; then a client in the middle of a message gets an error too. Large statements are skipped without memory.

--- a/src/downstream/sessions/client_framer.cpp
+++ b/src/downstream/sessions/client_framer.cpp
@@ -77,12 +77,21 @@
     partial_statement_->statement.text.reserve(partial_statement_->missing_bytes);
 }
 
+void ClientFramer::skip_large_statement(std::size_t size) {
+    stop_waiting_for_memory();
+    connection_->consume(pgwire::kMessageHeaderBytes);
+    partial_statement_ = PartialStatement{{{}, nullptr, true}, size - pgwire::kMessageHeaderBytes};
+}
+
 std::optional<LargeStatement> ClientFramer::read_large_statement() {
-    auto& text = partial_statement_->statement.text;
-    const auto size_before = text.size();
-    connection_->move_to(text, partial_statement_->missing_bytes);
-    partial_statement_->missing_bytes -= text.size() - size_before;
-    if (partial_statement_->missing_bytes > 0) return std::nullopt;
+    auto& [statement_read, missing_bytes] = *partial_statement_;
+    const auto consumed_before = connection_->consumed_bytes();
+    if (statement_read.is_skipped)
+        connection_->consume(missing_bytes);
+    else
+        connection_->move_to(statement_read.text, missing_bytes);
+    missing_bytes -= static_cast<std::size_t>(connection_->consumed_bytes() - consumed_before);
+    if (missing_bytes > 0) return std::nullopt;
     auto statement = std::move(partial_statement_->statement);
     partial_statement_.reset();
     return statement;
@@ -92,8 +101,13 @@
     return arrivals_.arrival_of(connection_->consumed_bytes(), last_arrival_at_);
 }
 
-void ClientFramer::stop() {
+void ClientFramer::stop_waiting_for_memory() {
     budget_.stop_waiting(this);
+    waits_for_memory_ = false;
+}
+
+void ClientFramer::stop() {
+    stop_waiting_for_memory();
     partial_statement_.reset();
 }
 
--- a/src/downstream/sessions/client_framer.h
+++ b/src/downstream/sessions/client_framer.h
@@ -24,6 +24,7 @@
 struct LargeStatement {
     std::string text;              // as sent, including the terminating zero byte
     std::shared_ptr<void> memory;  // its reservation of the memory budget
+    bool is_skipped = false;       // its bytes were discarded, and `text` is empty
 };
 
 // Functions that parse the input throw pgwire::ProtocolError if it is not a message that a client may send.
@@ -59,6 +60,8 @@
     bool waits_for_memory() const { return waits_for_memory_; }
     // Starts to collect the statement for which memory has been reserved.
     void begin_large_statement(std::size_t size);
+    // Starts to discard a large statement of `size` bytes, for which no memory is needed.
+    void skip_large_statement(std::size_t size);
     bool in_large_statement() const { return partial_statement_.has_value(); }
     // Consumes the part of the statement that has arrived. Returns the statement when it is complete.
     std::optional<LargeStatement> read_large_statement();
@@ -76,6 +79,8 @@
         std::size_t missing_bytes;
     };
 
+    void stop_waiting_for_memory();
+
     net::Connection* connection_;
     net::MemoryBudget& budget_;
     ArrivalTimes arrivals_;
--- a/src/downstream/sessions/client_listener.cpp
+++ b/src/downstream/sessions/client_listener.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "log/log.h"
+#include "pgwire/build.h"
 
 namespace sloestack::downstream {
 namespace {
@@ -29,6 +30,7 @@
 constexpr Micros kStopIdleTimeoutUs = 500'000;  // sessions idle for longer are closed early
 constexpr Micros kCloseAllBeforeLongestWaitUs = 800'000;
 constexpr Micros kFailAllAfterLongestWaitUs = 500'000;  // then open requests get an error response
+constexpr Micros kRejectInputUs = 50'000;  // then what clients have sent besides is rejected for this time
 constexpr Micros kLastLingerUs = 100'000;
 constexpr Micros kStopIntervalUs = 50'000;
 
@@ -175,7 +177,8 @@
           &ClientSession::is_stalled_in_message}) {
         for (auto& session : sessions_) {
             if ((session.get()->*may_close)()) {
-                session->displace();
+                session->finish_with_error(metrics::SessionEnd::displaced, pgwire::code::kTooManyConnections,
+                                           "too many clients while the rest of a message was missing");
                 return true;
             }
         }
@@ -235,7 +238,10 @@
         listener_.reset();
     }
     for_each_session([&](ClientSession& session) {
-        if (fail_all)
+        if (stopped_for >= fail_all_after + kRejectInputUs)
+            session.finish_with_error(metrics::SessionEnd::stopping, pgwire::code::kCannotConnectNow,
+                                      "the proxy is stopping");
+        else if (fail_all)
             session.fail_requests_and_finish(metrics::SessionEnd::stopping);
         else if (session.is_between_requests() && !session.awaits_first_query(now - kFirstQueryGraceUs) &&
                  (close_all || session.last_active_at() < now - kStopIdleTimeoutUs))
--- a/src/downstream/sessions/client_session.cpp
+++ b/src/downstream/sessions/client_session.cpp
@@ -26,7 +26,6 @@
       owner_(owner),
       slot_(std::move(slot)),
       connected_since_(connected_since),
-      reject_requests_(reject_requests),
       statements_(context),
       timeouts_(context.deadlines, context.deadlines.now(), [this] { on_timeout(); }),
       connection_(
@@ -35,6 +34,7 @@
       responses_(context, *this, connection_.get()),
       disconnect_detector_(context.deadlines, *this, connection_.get()) {
     if (!connection_) return;
+    if (reject_requests) rejection_ = {metrics::SessionEnd::overloaded, kRetryAfterWhenBusyUs};
     cancel_key_ = context_.cancel_keys.add(*this);
     renew_timeout();
 }
@@ -117,6 +117,7 @@
     const bool continues_later = resume_reading_.is_set() || is_output_full();
     if (input_has_ended_ && responses_.empty() && !continues_later && state_ != State::closed)
         finish(metrics::SessionEnd::client_closed);
+    finish_if_rejected();
     renew_timeout();
 }
 
@@ -150,6 +151,10 @@
 // Memory for the whole statement is reserved before its body is read; until then the body stays in the socket
 // buffer.
 bool ClientSession::begin_large_statement(std::size_t size) {
+    if (rejection_) {
+        framer_.skip_large_statement(size);
+        return continue_large_statement();
+    }
     if (!framer_.reserve_large_statement(size)) {
         const Time retry_at = context_.deadlines.now() + kMemoryRetryDelayUs;
         resume_reading_.set(context_.deadlines, retry_at, [this] { read_messages(); });
@@ -165,6 +170,10 @@
     if (!statement) return false;
     timeouts_.on_message_read();
     message_arrived_at_ = framer_.large_statement_arrival();
+    if (statement->is_skipped) {
+        if (!skip_to_sync_) reject_query(kUnknownRequestClass);
+        return true;
+    }
     auto& text = statement->text;
     if (text.find('\0') != text.size() - 1)
         throw pgwire::ProtocolError("Query message does not end with its only zero byte");
@@ -252,10 +261,12 @@
     if (!responses_.empty() && state_ != State::closed) disconnect_detector_.on_input_ended();
 }
 
-void ClientSession::displace() {
-    if (!framer_.has_partial_message()) return finish(metrics::SessionEnd::displaced);
-    fail_session(metrics::SessionEnd::displaced, pgwire::code::kTooManyConnections,
-                 "too many clients while the rest of a message was missing");
+void ClientSession::finish_with_error(metrics::SessionEnd reason, std::string_view sqlstate,
+                                      std::string_view message) {
+    if (is_ending()) return;
+    const bool may_respond = framer_.has_partial_message() && !responses_.is_streaming();
+    if (!may_respond) return finish(reason);
+    fail_session(reason, sqlstate, message);
 }
 
 void ClientSession::record_end(metrics::SessionEnd reason) {
@@ -264,8 +275,19 @@
 }
 
 void ClientSession::fail_requests_and_finish(metrics::SessionEnd reason) {
+    if (is_ending()) return;
+    if (responses_.is_streaming()) return finish(reason);
     responses_.fail_all();
-    finish(reason);
+    responses_.discard_all();
+    disconnect_detector_.stop();
+    rejection_ = {reason, 0};
+    finishes_without_input_ = true;
+    connection_->set_max_unread_bytes(state_ == State::startup ? kMaxUnreadStartupBytes : kMaxUnreadBytes);
+    read_messages();
+}
+
+void ClientSession::finish_if_rejected() {
+    if (finishes_without_input_ && !is_ending() && has_no_input()) finish(rejection_->session_end);
 }
 
 void ClientSession::finish(metrics::SessionEnd reason) {
--- a/src/downstream/sessions/client_session.h
+++ b/src/downstream/sessions/client_session.h
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "sessions/client_framer.h"
@@ -17,6 +18,8 @@
 
 namespace sloestack::downstream {
 
+constexpr Micros kRetryAfterWhenBusyUs = 1'000'000;
+
 class ClientSessionOwner {
 public:
     // A message of the client has been read.
@@ -62,15 +65,17 @@
     // Returns the time of the connect, the last read or the last response, whichever is latest.
     Time last_active_at() const;
 
-    // Responds to open requests with an error and calls finish().
+    // Responds to open requests with an error. Queries that the client has sent behind them are rejected as
+    // they are read, and the session finishes once no input is left. Finishes at once if a response is being
+    // streamed, because nothing can be written behind it.
     void fail_requests_and_finish(metrics::SessionEnd reason);
     // Starts a lingering close: sends all written bytes, then a FIN, and discards further input until the
     // client closes too or a time-out expires. Closing a socket with unread input would send a RST, on which
     // the client may lose the last response. Requests that arrive from now on get no response; the client may
     // send them again on another connection.
     void finish(metrics::SessionEnd reason);
-    // The same, in favour of a new client. A client in the middle of a message gets an error first.
-    void displace();
+    // The same, but a client in the middle of a message gets an error with this SQLSTATE first.
+    void finish_with_error(metrics::SessionEnd reason, std::string_view sqlstate, std::string_view message);
     // Closes at once, for a failed connection or a lingering close that takes too long.
     void close(metrics::SessionEnd reason);
     // Handles the client's CancelRequest, which arrives on another connection.
@@ -82,6 +87,11 @@
 
 private:
     enum class State { startup, open, finishing, closed };
+    // Why all further queries are rejected, and the Retry-After that the client gets.
+    struct Rejection {
+        metrics::SessionEnd session_end;
+        Micros retry_after;
+    };
 
     void response_progressed() override { renew_timeout(); }
     void response_written() override { read_messages(); }
@@ -113,6 +123,9 @@
     void handle_query(std::string text, std::shared_ptr<void> memory = {});
     void reject_statement(const StatementError& error);
     void reject_request(int request_class, Micros retry_after);
+    // Rejects a query because all of them are rejected.
+    void reject_query(int request_class);
+    void finish_if_rejected();
     void respond_with_error(std::string_view sqlstate, std::string_view message);
     void fail_session(metrics::SessionEnd reason, std::string_view sqlstate, std::string_view message);
 
@@ -126,7 +139,8 @@
     ClientSessionOwner& owner_;
     net::DescriptorSlot slot_;
     const Time connected_since_;
-    const bool reject_requests_;
+    std::optional<Rejection> rejection_;
+    bool finishes_without_input_ = false;  // once `rejection_` has been sent, or at a stop
     State state_ = State::startup;
     bool skip_to_sync_ = false;  // after an error in the extended query protocol
     bool input_has_ended_ = false;
--- a/src/downstream/sessions/client_session_messages.cpp
+++ b/src/downstream/sessions/client_session_messages.cpp
@@ -5,12 +5,6 @@
 #include "sessions/response_messages.h"
 
 namespace sloestack::downstream {
-namespace {
-
-constexpr Micros kRetryAfterWhenBusyUs = 1'000'000;
-
-}  // namespace
-
 void ClientSession::handle_startup(std::string_view body) {
     const auto startup = pgwire::read_startup(body);
     if (startup.kind == pgwire::StartupKind::encryption) return responses_.respond("N");
@@ -64,10 +58,7 @@
             return respond_with_error(pgwire::code::kCannotConnectNow, "no endpoint is known yet");
         return responses_.respond(empty_query_response());
     }
-    if (reject_requests_) {
-        reject_request(statements_.request_class_of(text), kRetryAfterWhenBusyUs);
-        return finish(metrics::SessionEnd::overloaded);
-    }
+    if (rejection_) return reject_query(statements_.request_class_of(text));
     auto result = statements_.read(std::move(text), std::move(memory), message_arrived_at_);
     if (const auto* error = std::get_if<StatementError>(&result)) return reject_statement(*error);
     auto& statement = std::get<ParsedStatement>(result);
@@ -81,6 +72,11 @@
     responses_.submit(std::move(statement));
 }
 
+void ClientSession::reject_query(int request_class) {
+    finishes_without_input_ = true;
+    reject_request(request_class, rejection_->retry_after);
+}
+
 void ClientSession::reject_statement(const StatementError& error) {
     switch (error.kind) {
         case StatementError::Kind::malformed:
--- a/tests/integration/descriptor_limits_test.cpp
+++ b/tests/integration/descriptor_limits_test.cpp
@@ -48,6 +48,31 @@
     proxy.run_until([&] { return proxy.response_count() == 1; });
 }
 
+// Only the first of the queries that a client beyond the limit sent at once was rejected.
+TEST(DescriptorLimits, RejectsEachQueryOfAClientBeyondTheLimit) {
+    constexpr int kQueries = 5;
+    ProxyHarness proxy(make_settings(), 64);
+    proxy.establish_long_poll();
+    std::vector<loopback::Peer> busy;
+    for (int i = 0; i < sloestack::net::divide_descriptors(64).clients; ++i) {
+        busy.push_back(loopback::connect_to(proxy.port()));
+        busy.back().send(startup_message() + proxy.make_request("read").substr(0, 20));
+        proxy.run();
+    }
+    auto last = loopback::connect_to(proxy.port());
+    std::string queries;
+    for (int i = 0; i < kQueries; ++i) queries += proxy.make_request("keyed_write");
+    last.send(startup_message() + queries);
+    proxy.run(40);
+    last.read();
+    int rejections = 0;
+    for (auto at = last.received.find("C53300"); at != std::string::npos;
+         at = last.received.find("C53300", at + 1))
+        ++rejections;
+    EXPECT_EQ(rejections, kQueries);
+    EXPECT_TRUE(last.ended);
+}
+
 // All other sessions are in use: the only idle one is that of the client that has just been greeted.
 TEST(DescriptorLimits, KeepsAGreetedClientUntilItCanHaveSentItsFirstQuery) {
     ProxyHarness proxy(make_settings(), 64);
--- a/tests/integration/shutdown_test.cpp
+++ b/tests/integration/shutdown_test.cpp
@@ -13,9 +13,9 @@
 using namespace integration;
 
 // Runs the proxy until the platform would kill the process, and checks that the process has ended by then.
-void run_until_kill_timeout(ProxyHarness& proxy) {
+void run_until_kill_timeout(ProxyHarness& proxy, int iterations_per_step = 3) {
     for (Micros elapsed = 0; elapsed < kKillTimeout && !proxy.is_stopped(); elapsed += 10'000) {
-        proxy.run(3);
+        proxy.run(iterations_per_step);
         proxy.clock.advance(10'000);
     }
     EXPECT_TRUE(proxy.is_stopped());
@@ -68,6 +68,75 @@
     }
 }
 
+constexpr Micros kLongDeadline = 60'000'000;
+
+// Sends `count` writes at once, the first of which an endpoint does not respond to, and stops the proxy.
+void send_writes_and_stop(ProxyHarness& proxy, int count) {
+    proxy.establish_long_poll();
+    proxy.connect();
+    std::string requests;
+    for (int i = 0; i < count; ++i) requests += proxy.make_request("keyed_write", kLongDeadline);
+    proxy.client.send(requests);
+    proxy.run_until([&] { return !proxy.queries.empty(); });
+    raise(SIGTERM);
+}
+
+// Writes that waited behind an open write were discarded at the end of a stop and got no response.
+TEST(Shutdown, RespondsToQueriesThatWaitBehindAnOpenOne) {
+    constexpr int kWrites = 6;
+    ProxyHarness proxy;
+    send_writes_and_stop(proxy, kWrites);
+    run_until_kill_timeout(proxy);
+    EXPECT_EQ(proxy.response_count(), kWrites);
+    EXPECT_NE(proxy.client.received.find("57P01"), std::string::npos) << "of the open write";
+    EXPECT_NE(proxy.client.received.find("53300"), std::string::npos) << "of the writes that were not sent";
+    EXPECT_EQ(proxy.queries.size(), 1U);
+    EXPECT_TRUE(proxy.client.ended);
+}
+
+// The same for more queries than are read from the kernel while one is open.
+TEST(Shutdown, RespondsToQueriesThatWaitInTheKernel) {
+    constexpr int kWrites = 400;
+    ProxyHarness proxy;
+    send_writes_and_stop(proxy, kWrites);
+    run_until_kill_timeout(proxy);
+    EXPECT_EQ(proxy.response_count(), kWrites);
+    EXPECT_TRUE(proxy.client.ended);
+}
+
+// The same for a statement that is not buffered until memory for it is free.
+TEST(Shutdown, RespondsToALargeStatementThatWaitsBehindAnOpenQuery) {
+    ProxyHarness proxy;
+    send_writes_and_stop(proxy, 1);
+    auto large = proxy.make_request("keyed_write", kLongDeadline);
+    const std::string padding(200'000, ' ');
+    const auto size = static_cast<std::uint32_t>(large.size() - 1 + padding.size());
+    for (int byte = 0; byte < 4; ++byte)
+        large[static_cast<std::size_t>(1 + byte)] = static_cast<char>(size >> (24 - 8 * byte));
+    large.insert(5, padding);
+    ASSERT_TRUE(proxy.client.send(large + proxy.make_request("keyed_write", kLongDeadline)));
+    run_until_kill_timeout(proxy, 50);  // 4 KiB are read in each iteration
+    EXPECT_EQ(proxy.response_count(), 3);
+    EXPECT_TRUE(proxy.client.ended);
+}
+
+// A client that finishes its query only now gets a response although the proxy is about to end.
+TEST(Shutdown, RespondsToAQueryThatIsCompletedAtTheEndOfAStop) {
+    ProxyHarness proxy;
+    send_writes_and_stop(proxy, 1);
+    const auto late = proxy.make_request("keyed_write", kLongDeadline);
+    bool is_begun = false;
+    bool is_completed = false;
+    for (Micros elapsed = 0; elapsed < kKillTimeout && !proxy.is_stopped(); elapsed += 10'000) {
+        proxy.run(3);
+        if (!is_begun && elapsed > kRequestDeadline) is_begun = proxy.client.send(late.substr(0, 20));
+        if (!is_completed && proxy.response_count() == 1) is_completed = proxy.client.send(late.substr(20));
+        proxy.clock.advance(10'000);
+    }
+    EXPECT_TRUE(proxy.is_stopped());
+    EXPECT_EQ(proxy.response_count(), 2);
+}
+
 // A client keeps sending requests until its connection closes: every request that was forwarded must get its
 // response.
 TEST(Shutdown, RespondsToAClientThatKeepsSending) {
