Report session writes between the processes of a hot restart before they are answered

Cause: the positions of sessions' writes were known only to the process that served the write. The new process required its own start of an unknown session, but the old one goes on acknowledging writes until it ends. The other direction has the same fault: a client of the old process whose session writes at the new one. Change: a process reports each session write to its peers before it answers the client, straight to the kernel (Connection::write_now). A process reads what its peers have sent after its clients' input and before the decision module's step (receive_now), so that a read never overtakes the report of a write that was acknowledged before it was sent. The decision module takes reports as it takes its own writes. While reports may be missing (a process of an earlier version, a third process, a delayed event loop), session reads require the newest data, and afterwards everything up to that moment.

--- a/include/sloestack/router.h
+++ b/include/sloestack/router.h
@@ -198,8 +198,20 @@
     Micros latency_us = 0;  // from its start to its end
     ReplicationStatus reported_status;
 };
+// A write of a client session that another process of this proxy has acknowledged to its client. Reported
+// before the arrivals that have to see it.
+struct SessionWrite {
+    int replica_group = 0;
+    SessionId session = 0;
+    Time position = 0;
+};
+// Whether the caller reports all writes of sessions that other processes of this proxy acknowledge. Without
+// this event no other process acknowledges any.
+struct SessionWriteReports {
+    bool are_complete = true;
+};
 using Event = std::variant<EndpointList, Arrival, AttemptEnded, ResponseStarted, ClientDisconnected,
-                           TimerFired, HealthCheckEnded>;
+                           TimerFired, HealthCheckEnded, SessionWrite, SessionWriteReports>;
 
 // ---- actions: output of Router::step, to be executed in order ----
 
--- a/src/app/server/server.cpp
+++ b/src/app/server/server.cpp
@@ -14,7 +14,7 @@
 
 constexpr Micros kReportIntervalUs = 10'000'000;
 constexpr Micros kLateIterationUs = 20'000;
-constexpr Micros kLoggedDelayUs = 100'000;
+constexpr Micros kLongDelayUs = 100'000;
 // To accept a connection, read its input, and read what that has caused.
 constexpr int kCatchUpIterations = 3;
 #ifdef NDEBUG
@@ -71,7 +71,10 @@
     watch_ = make_discovery_watch(config);
     dispatch_loop_.set_targets(
         {pool_, [this] { watch_->start(); },
-         [this](auto kind, const auto& entries) { pool_.update_endpoints(kind, entries); }});
+         [this](auto kind, const auto& entries) { pool_.update_endpoints(kind, entries); },
+         [this](const auto& write) {
+             if (hot_restart_) hot_restart_->send_session_write(write);
+         }});
     client_listener_ = make_client_listener(config);
     if (config.admin_address)
         admin_server_ = std::make_unique<admin::AdminServer>(loop_, deadlines_, *config.admin_address,
@@ -165,6 +168,7 @@
     loop_.run_once(max_wait_us);
     const Micros delay = deadlines_.now() - began_at - std::max<Micros>(0, max_wait_us);
     if (delay >= kLateIterationUs) catch_up(delay);
+    if (hot_restart_) hot_restart_->receive_now();
     dispatch_loop_.run_iteration();
     // Where lists are pushed, clients are accepted once the
     // first poll of the local agent has succeeded or failed.
@@ -179,7 +183,8 @@
 // deadline or retry that is due is acted on.
 void Server::catch_up(Micros delay) {
     for (int i = 0; i < kCatchUpIterations; ++i) loop_.run_once(0);
-    if (delay < kLoggedDelayUs) return;
+    if (delay < kLongDelayUs) return;
+    if (hot_restart_) hot_restart_->on_event_loop_delayed();
     client_listener_->session_metrics().count_late_iteration(delay);
     log::line("event loop late", std::to_string(delay / kMicrosPerMillisecond) + " ms");
 }
--- a/src/app/server/server.h
+++ b/src/app/server/server.h
@@ -69,6 +69,12 @@
     const std::set<std::string>& excluded_endpoints() const override { return exclusions_.excluded(); }
     void on_exclusion_update(const std::string& endpoint, bool excluded) override;
     void on_process_count(int processes) override;
+    void on_session_write(const decision::SessionWrite& write) override {
+        dispatch_loop_.on_session_write(write);
+    }
+    void on_session_write_reports(bool are_complete) override {
+        dispatch_loop_.on_session_write_reports({are_complete});
+    }
     bool is_within_share() const override {
         return !client_quota_.is_exceeded() && !endpoint_quota_.is_exceeded();
     }
--- a/src/core/dispatch_loop/dispatch_loop.h
+++ b/src/core/dispatch_loop/dispatch_loop.h
@@ -30,6 +30,9 @@
     // it handles attempts that end because of the list.
     std::function<void(decision::EndpointListKind, const std::vector<traffic::ListedEndpoint>&)>
         apply_endpoint_list;
+    // Called for a write of a session that has succeeded, before its client receives the response. Only
+    // called if the decision module records the writes of sessions.
+    std::function<void(const decision::SessionWrite&)> announce_session_write;
 };
 
 class DispatchLoop final : public traffic::RequestDispatcher,
@@ -50,6 +53,13 @@
     std::size_t open_request_count() const { return requests_.size(); }
     std::size_t ejected_endpoint_count() const { return router_.ejected_endpoint_count(); }
 
+    // A write that another process has acknowledged, and whether all of them are reported. The decision
+    // module receives both before the arrivals of the same iteration.
+    void on_session_write(const decision::SessionWrite& write) { peer_events_.emplace_back(write); }
+    void on_session_write_reports(const decision::SessionWriteReports& reports) {
+        peer_events_.emplace_back(reports);
+    }
+
     // RequestDispatcher
     traffic::RequestId submit(traffic::Request request, traffic::ResponseSink& sink) override;
     void cancel_request(traffic::RequestId id) override;
@@ -72,8 +82,10 @@
 
 private:
     void step();
+    void take_step_events();
     void respond(traffic::RequestId id, const OpenRequest& request,
                  const std::optional<traffic::ResultValue>& value);
+    void announce_session_write(const OpenRequest& request, const decision::AttemptEnded& end) const;
     void schedule_overdue_check(traffic::RequestId id, OpenRequest& request);
     void on_overdue(traffic::RequestId id);
 
@@ -94,7 +106,10 @@
     metrics::RequestMetrics& metrics_;
     decision::Router router_;
     std::optional<ActionTargets> targets_;
+    // By request class: whether it writes and the decision module records the writes of its sessions.
+    std::vector<bool> records_session_writes_;
     std::vector<decision::Event> queued_events_;
+    std::vector<decision::Event> peer_events_;  // about other processes; handled before the queued events
     std::vector<decision::Event> step_events_;  // of the current step; a data member to reuse its memory
     std::vector<decision::Action> actions_;
     OpenRequests requests_;
--- a/src/core/dispatch_loop/inputs.cpp
+++ b/src/core/dispatch_loop/inputs.cpp
@@ -20,6 +20,8 @@
     request.sink = &sink;
     request.statement = std::move(submitted.statement);
     request.request_class = submitted.arrival.request_class;
+    request.replica_group = submitted.arrival.replica_group;
+    request.session = submitted.arrival.session;
     request.deadline = submitted.arrival.deadline;
     schedule_overdue_check(id, request);
     queued_events_.emplace_back(submitted.arrival);
@@ -73,6 +75,7 @@
     const auto* request = requests_.find(end.request);
     if (request) {
         metrics_.count_attempt_ended(request->request_class, end.outcome);
+        announce_session_write(*request, end);
         // The first value goes to the client unchanged and ends the request without a decision of the module.
         const bool is_response =
             request->streaming_attempt ? *request->streaming_attempt == end.attempt : value.has_value();
@@ -83,6 +86,16 @@
     queued_events_.emplace_back(event);
 }
 
+void DispatchLoop::announce_session_write(const OpenRequest& request,
+                                          const decision::AttemptEnded& end) const {
+    const auto index = static_cast<std::size_t>(request.request_class);
+    const bool is_recorded =
+        request.session != 0 && index < records_session_writes_.size() && records_session_writes_[index];
+    if (end.outcome != Outcome::ok || !is_recorded) return;
+    const Time position = end.status.position.value_or(deadlines_.now());
+    targets_->announce_session_write({request.replica_group, request.session, position});
+}
+
 void DispatchLoop::respond(traffic::RequestId id, const OpenRequest& request,
                            const std::optional<traffic::ResultValue>& value) {
     auto* sink = requests_.close(id);
--- a/src/core/dispatch_loop/open_requests.h
+++ b/src/core/dispatch_loop/open_requests.h
@@ -16,6 +16,8 @@
     traffic::ResponseSink* sink = nullptr;  // not owned; null once the request is closed
     std::shared_ptr<const traffic::Statement> statement = {};
     int request_class = 0;
+    int replica_group = 0;
+    decision::SessionId session = 0;
     Time deadline = 0;  // stated by the client
     int attempt_count = 0;
     std::optional<int> streaming_attempt = {};  // the attempt whose value is being streamed to the client
--- a/src/decision/read_consistency.cpp
+++ b/src/decision/read_consistency.cpp
@@ -22,15 +22,27 @@
         return arrival.last_write_age_us
                    ? request.arrived_at - *arrival.last_write_age_us + kWriteAgeRoundingUs
                    : 0;
+    if (!reports_are_complete_) return request.arrived_at;
     const auto token = session_tokens_.find({arrival.replica_group, arrival.session});
-    if (token != session_tokens_.end()) return token->second;
-    return state_.group(arrival.replica_group).default_session_position;
+    const Time known_position = token != session_tokens_.end()
+                                    ? token->second
+                                    : state_.group(arrival.replica_group).default_session_position;
+    return std::max(known_position, reports_complete_since_);
 }
 
 void ReadConsistency::record_write(const Request& request, Time position) {
-    if (!request.arrival.session) return;
-    auto& token = session_tokens_[{request.arrival.replica_group, request.arrival.session}];
-    token = std::max(token, position);
+    record_write(SessionWrite{request.arrival.replica_group, request.arrival.session, position});
+}
+
+void ReadConsistency::record_write(const SessionWrite& write) {
+    if (!write.session) return;
+    auto& token = session_tokens_[{write.replica_group, write.session}];
+    token = std::max(token, write.position);
+}
+
+void ReadConsistency::set_reports_complete(bool are_complete) {
+    if (are_complete && !reports_are_complete_) reports_complete_since_ = state_.now;
+    reports_are_complete_ = are_complete;
 }
 
 bool ReadConsistency::is_satisfied_by(const Endpoint& endpoint, const Request& request) const {
--- a/src/decision/read_consistency.h
+++ b/src/decision/read_consistency.h
@@ -17,6 +17,11 @@
     Time required_position(const Request& request);
     // Records that a write of the request's session has committed at the position.
     void record_write(const Request& request, Time position);
+    // The same for a write that another process has acknowledged.
+    void record_write(const SessionWrite& write);
+    // While reports are incomplete, any session may have written at another process until now: reads of
+    // sessions then require the newest data.
+    void set_reports_complete(bool are_complete);
     // Whether the endpoint meets the consistency of the read, by its estimated position.
     bool is_satisfied_by(const Endpoint& endpoint, const Request& request) const;
     // Whether the primary may serve reads that require the newest data: it has reported its role itself, or
@@ -30,6 +35,8 @@
 private:
     RouterState& state_;
     std::map<std::pair<int, SessionId>, Time> session_tokens_;  // by replica group and session
+    bool reports_are_complete_ = true;
+    Time reports_complete_since_ = 0;  // earlier writes may be unknown
 };
 
 }  // namespace sloestack::decision
--- a/src/decision/router.cpp
+++ b/src/decision/router.cpp
@@ -183,6 +183,12 @@
         if (auto* request = state_.find_request(event.request)) lifecycle_.close(*request, -1, actions);
     }
 
+    void on(const SessionWrite& write, Actions&) { read_consistency_.record_write(write); }
+
+    void on(const SessionWriteReports& reports, Actions&) {
+        read_consistency_.set_reports_complete(reports.are_complete);
+    }
+
     // ---- endpoints ----
     void on(const HealthCheckEnded& end, Actions& actions) {
         auto* endpoint = state_.find_endpoint(end.endpoint);
--- a/src/net/transport/connection.cpp
+++ b/src/net/transport/connection.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <charconv>
 #include <cstddef>
@@ -18,6 +19,7 @@
 namespace {
 
 constexpr std::size_t kMaxReadBytes = std::size_t{64} * 1024;
+constexpr std::size_t kReceiveNowBytes = std::size_t{4} * 1024;
 constexpr Micros kKernelTickUs = 10'000;  // of the slowest usual configuration, HZ=100
 
 void set_tcp_no_delay(evutil_socket_t fd) {
@@ -142,6 +144,31 @@
     written_bytes_ += bytes.size();
     bufferevent_write(bev_.get(), bytes.data(), bytes.size());
 }
+void Connection::write_now(std::string_view bytes) {
+    if (unwritten_bytes() == 0) {
+        const auto sent =
+            send(bufferevent_getfd(bev_.get()), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        const auto sent_size = static_cast<std::size_t>(std::max<ssize_t>(sent, 0));
+        written_bytes_ += sent_size;
+        bytes.remove_prefix(sent_size);
+    }
+    if (!bytes.empty()) write(bytes);
+}
+void Connection::receive_now() {
+    auto* input = bufferevent_get_input(bev_.get());
+    const auto unread_before = unread_bytes();
+    std::array<char, kReceiveNowBytes> bytes;
+    while (unread_bytes() < max_unread_bytes_) {
+        const auto count = recv(bufferevent_getfd(bev_.get()), bytes.data(), bytes.size(), MSG_DONTWAIT);
+        if (count < 0 && errno == EINTR) continue;
+        if (count <= 0) break;
+        // libevent allows only its own socket to add to the buffer.
+        evbuffer_unfreeze(input, 0);
+        evbuffer_add(input, bytes.data(), static_cast<std::size_t>(count));
+        evbuffer_freeze(input, 0);
+    }
+    if (unread_bytes() > unread_before) read();
+}
 void Connection::write(std::string_view bytes, std::shared_ptr<const void> owner) {
     written_bytes_ += bytes.size();
     evbuffer_add_reference(
--- a/src/net/transport/connection.h
+++ b/src/net/transport/connection.h
@@ -59,8 +59,13 @@
     // Changes the number of received bytes at which reading pauses until some of them are consumed.
     void set_max_unread_bytes(std::size_t max_bytes);
     void write(std::string_view bytes);
+    // The same, but hands the kernel at once what it takes now, without waiting for the event loop.
+    void write_now(std::string_view bytes);
     // Writes without copying: `owner` keeps `bytes` alive until the kernel has taken them.
     void write(std::string_view bytes, std::shared_ptr<const void> owner);
+    // Receives what has arrived in the kernel by now, without waiting for the event loop, and calls received()
+    // if that is anything. The end of the input is left to the event loop.
+    void receive_now();
     // Appends the first `bytes` received bytes, or all if there are fewer, to `to` and consumes them.
     void move_to(std::string& to, std::size_t bytes);
     void set_reading_paused(bool is_paused);
--- a/src/state/hot_restart/hot_restart.cpp
+++ b/src/state/hot_restart/hot_restart.cpp
@@ -32,9 +32,10 @@
     if (!fd) return start_serving();
     auto predecessor = open_peer(*fd, Role::predecessor);
     if (!predecessor) return start_serving();
-    predecessor->send(HandshakeRequest{});
+    predecessor->send(HandshakeRequest{true});
     peers_.push_back(std::move(predecessor));
     report_process_count();
+    update_session_write_reports();
     // A predecessor that hangs must not prevent this process from serving.
     handshake_timeout_.set(deadlines_, deadlines_.now() + kHandshakeTimeoutUs, [this] {
         log::line("predecessor", "handshake timed out");
@@ -76,21 +77,39 @@
                        [](const auto& peer) { return peer->role() == Role::successor && peer->is_joined(); });
 }
 
-void HotRestart::report_process_count() {
-    const auto others =
-        std::count_if(peers_.begin(), peers_.end(), [](const auto& peer) { return peer->is_joined(); });
-    handler_.on_process_count(1 + static_cast<int>(others));
+std::ptrdiff_t HotRestart::joined_count() const {
+    return std::count_if(peers_.begin(), peers_.end(), [](const auto& peer) { return peer->is_joined(); });
+}
+
+void HotRestart::report_process_count() { handler_.on_process_count(1 + static_cast<int>(joined_count())); }
+
+// Writes that a further peer acknowledges would reach this peer too late: they are not passed on.
+void HotRestart::update_session_write_reports() {
+    const bool has_one_peer = joined_count() == 1;
+    bool are_complete = true;
+    for (const auto& peer : peers_) {
+        if (!peer->is_joined()) continue;
+        are_complete = are_complete && peer->reports_session_writes();
+        if (!peer->knows_session_writes() || peer->sent_status() == has_one_peer) continue;
+        peer->sent_status() = has_one_peer;
+        peer->send(SessionWriteStatus{has_one_peer});
+    }
+    if (std::exchange(reports_are_complete_, are_complete) == are_complete) return;
+    log::line("session writes of other processes", are_complete ? "reported" : "not all reported");
+    handler_.on_session_write_reports(are_complete);
 }
 
 void HotRestart::on_message(PeerConnection& peer, const Message& message) {
     std::visit([&](const auto& typed) { handle(peer, typed); }, message);
 }
 
-void HotRestart::handle(PeerConnection& peer, const HandshakeRequest&) {
+void HotRestart::handle(PeerConnection& peer, const HandshakeRequest& request) {
     if (peer.role() != Role::successor) return on_disconnected(peer);
     log::line("successor", "connected");
     peer.on_handshake_request(deadlines_.now());
+    if (request.knows_session_writes) peer.set_knows_session_writes();
     report_process_count();
+    update_session_write_reports();
     for (const auto& endpoint : handler_.excluded_endpoints()) peer.send(ExclusionUpdate{true, endpoint, 0});
     complete_handshake_within_share(peer);
 }
@@ -110,6 +129,21 @@
     acknowledgements_.on_acknowledged(peer, acknowledgement.sequence);
 }
 
+void HotRestart::handle(PeerConnection& peer, const SessionWriteStatus& status) {
+    peer.set_knows_session_writes();
+    peer.set_reports_session_writes(status.is_complete);
+    update_session_write_reports();
+}
+
+void HotRestart::handle(PeerConnection& peer, const SessionWriteStatusRequest&) {
+    peer.sent_status().reset();
+    update_session_write_reports();
+}
+
+void HotRestart::handle(PeerConnection&, const decision::SessionWrite& write) {
+    handler_.on_session_write(write);
+}
+
 // Completes the handshake once this process is within its share of the limits, so that the successor can use
 // its own share in full.
 void HotRestart::complete_handshake_within_share(PeerConnection& successor) {
@@ -129,6 +163,7 @@
     log::line(log_subject(peer.role()), "disconnected");
     acknowledgements_.on_peer_lost(peer);
     report_process_count();
+    update_session_write_reports();
     // The predecessor may have ended before the handshake was complete.
     if (peer.role() == Role::predecessor) start_serving();
 }
@@ -150,4 +185,24 @@
     acknowledgements_.expect(sequence, std::move(recipients), std::move(done));
 }
 
+void HotRestart::send_session_write(const decision::SessionWrite& write) {
+    for (const auto& peer : peers_)
+        if (peer->is_joined() && peer->knows_session_writes()) peer->send(write);
+}
+
+void HotRestart::receive_now() {
+    std::vector<PeerConnection*> peers;  // a peer that disconnects is erased from peers_ and destroyed later
+    for (const auto& peer : peers_) peers.push_back(peer.get());
+    for (auto* peer : peers) peer->receive_now();
+}
+
+void HotRestart::on_event_loop_delayed() {
+    for (const auto& peer : peers_) {
+        if (!peer->is_joined() || !peer->knows_session_writes()) continue;
+        peer->set_reports_session_writes(false);
+        peer->send(SessionWriteStatusRequest{});
+    }
+    update_session_write_reports();
+}
+
 }  // namespace sloestack::hot_restart
--- a/src/state/hot_restart/hot_restart.h
+++ b/src/state/hot_restart/hot_restart.h
@@ -30,6 +30,10 @@
     virtual void on_exclusion_update(const std::string& endpoint, bool excluded) = 0;
     // Called when the number of processes that share the limits changes; `processes` includes this one.
     virtual void on_process_count(int processes) = 0;
+    // Called for a session write that another process has acknowledged.
+    virtual void on_session_write(const decision::SessionWrite& write) = 0;
+    // Called when it changes whether all of them are reported. They are while no other process is connected.
+    virtual void on_session_write_reports(bool are_complete) = 0;
     // Returns whether this process uses no more than its share of the limits.
     virtual bool is_within_share() const = 0;
     // Called once, when the predecessor's state has been received or there is no predecessor to wait for. The
@@ -54,6 +58,14 @@
     // Sends the update to all other processes. Calls `done` once each of them has acknowledged it or has
     // disconnected, at the latest when the acknowledgement time-out expires.
     void send_exclusion_update(const std::string& endpoint, bool excluded, std::function<void()> done);
+    // Reports a session write to all other processes. Must be called before the client is answered.
+    void send_session_write(const decision::SessionWrite& write);
+    // Handles the messages that have arrived by now. Must be called after clients' input has been read and
+    // before it is acted on, so that a session's read finds the writes acknowledged before it was sent.
+    void receive_now();
+    // Must be called when the event loop has been delayed for so long that messages may be waiting in their
+    // senders: session writes count as incomplete until all of them have arrived.
+    void on_event_loop_delayed();
 
 private:
     using Peers = AcknowledgementTracker::Peers;
@@ -65,6 +77,9 @@
     void handle(PeerConnection& peer, const HandshakeComplete& complete);
     void handle(PeerConnection& peer, const ExclusionUpdate& update);
     void handle(PeerConnection& peer, const Acknowledgement& acknowledgement);
+    void handle(PeerConnection& peer, const SessionWriteStatus& status);
+    void handle(PeerConnection& peer, const SessionWriteStatusRequest& request);
+    void handle(PeerConnection& peer, const decision::SessionWrite& write);
 
     void start_serving();
     void listen();
@@ -74,6 +89,9 @@
     void complete_handshake_within_share(PeerConnection& successor);
     Peers broadcast(const ExclusionUpdate& update, const PeerConnection* except);
     void report_process_count();
+    std::ptrdiff_t joined_count() const;
+    // Tells the peers, and the handler, if it has changed whether session writes are reported completely.
+    void update_session_write_reports();
 
     net::Loop& loop_;
     Deadlines& deadlines_;
@@ -83,6 +101,7 @@
     AcknowledgementTracker acknowledgements_;
     std::uint64_t last_sequence_ = 0;
     State state_ = State::awaiting_predecessor;
+    bool reports_are_complete_ = true;
     Deadline handshake_timeout_;
     std::unique_ptr<net::Listener> listener_;
 };
--- a/src/state/hot_restart/hot_restart_codec.cpp
+++ b/src/state/hot_restart/hot_restart_codec.cpp
@@ -16,9 +16,21 @@
 constexpr const char* kExclude = "exclude";
 constexpr const char* kInclude = "include";
 constexpr const char* kAcknowledgement = "held";
+constexpr const char* kSessionWriteStatus = "session_writes";
+constexpr const char* kSessionWriteStatusRequest = "session_writes?";
+constexpr const char* kSessionWrite = "wrote";
+constexpr const char* kKnowsSessionWritesKey = "sessions";
+constexpr const char* kCompleteKey = "complete";
+constexpr const char* kReplicaGroupKey = "cell";
+constexpr const char* kSessionKey = "session";
+constexpr const char* kPositionKey = "position";
 
 struct ToJson {
-    json operator()(const HandshakeRequest&) const { return {{kTypeKey, kHandshakeRequest}}; }
+    json operator()(const HandshakeRequest& request) const {
+        json out = {{kTypeKey, kHandshakeRequest}};
+        if (request.knows_session_writes) out[kKnowsSessionWritesKey] = true;
+        return out;
+    }
     json operator()(const HandshakeComplete&) const { return {{kTypeKey, kHandshakeComplete}}; }
     json operator()(const ExclusionUpdate& update) const {
         return {{kTypeKey, update.excluded ? kExclude : kInclude},
@@ -28,6 +40,18 @@
     json operator()(const Acknowledgement& acknowledgement) const {
         return {{kTypeKey, kAcknowledgement}, {kSequenceKey, acknowledgement.sequence}};
     }
+    json operator()(const SessionWriteStatus& status) const {
+        return {{kTypeKey, kSessionWriteStatus}, {kCompleteKey, status.is_complete}};
+    }
+    json operator()(const SessionWriteStatusRequest&) const {
+        return {{kTypeKey, kSessionWriteStatusRequest}};
+    }
+    json operator()(const decision::SessionWrite& write) const {
+        return {{kTypeKey, kSessionWrite},
+                {kReplicaGroupKey, write.replica_group},
+                {kSessionKey, write.session},
+                {kPositionKey, write.position}};
+    }
 };
 
 std::optional<std::string> text_at(const json& object, const char* key) {
@@ -36,6 +60,19 @@
     return found->get<std::string>();
 }
 
+std::optional<bool> flag_at(const json& object, const char* key) {
+    const auto found = object.find(key);
+    if (found == object.end() || !found->is_boolean()) return std::nullopt;
+    return found->get<bool>();
+}
+
+template <class Integer>
+std::optional<Integer> integer_at(const json& object, const char* key) {
+    const auto found = object.find(key);
+    if (found == object.end() || !found->is_number_integer()) return std::nullopt;
+    return found->get<Integer>();
+}
+
 std::optional<std::uint64_t> sequence_of(const json& object) {
     const auto found = object.find(kSequenceKey);
     if (found == object.end() || !found->is_number_unsigned()) return std::nullopt;
@@ -55,6 +92,20 @@
     return Acknowledgement{*sequence};
 }
 
+std::optional<Message> decode_session_write_status(const json& object) {
+    const auto is_complete = flag_at(object, kCompleteKey);
+    if (!is_complete) return std::nullopt;
+    return SessionWriteStatus{*is_complete};
+}
+
+std::optional<Message> decode_session_write(const json& object) {
+    const auto replica_group = integer_at<int>(object, kReplicaGroupKey);
+    const auto session = integer_at<decision::SessionId>(object, kSessionKey);
+    const auto position = integer_at<decision::Time>(object, kPositionKey);
+    if (!replica_group || !session || !position) return std::nullopt;
+    return decision::SessionWrite{*replica_group, *session, *position};
+}
+
 }  // namespace
 
 std::string encode(const Message& message) { return std::visit(ToJson{}, message).dump() + "\n"; }
@@ -64,11 +115,15 @@
     if (!object.is_object()) return std::nullopt;
     const auto type = text_at(object, kTypeKey);
     if (!type) return std::nullopt;
-    if (*type == kHandshakeRequest) return HandshakeRequest{};
+    if (*type == kHandshakeRequest)
+        return HandshakeRequest{flag_at(object, kKnowsSessionWritesKey).value_or(false)};
     if (*type == kHandshakeComplete) return HandshakeComplete{};
     if (*type == kExclude) return decode_exclusion_update(object, true);
     if (*type == kInclude) return decode_exclusion_update(object, false);
     if (*type == kAcknowledgement) return decode_acknowledgement(object);
+    if (*type == kSessionWriteStatus) return decode_session_write_status(object);
+    if (*type == kSessionWriteStatusRequest) return SessionWriteStatusRequest{};
+    if (*type == kSessionWrite) return decode_session_write(object);
     return std::nullopt;
 }
 
--- a/src/state/hot_restart/hot_restart_codec.h
+++ b/src/state/hot_restart/hot_restart_codec.h
@@ -1,11 +1,18 @@
 // The protocol between the old and the new process of a hot restart: one JSON object per line on a Unix
 // stream socket. The keys and types must not change, because the two processes may be of different versions.
 //
-//   successor -> predecessor   {"do":"hello"}
+//   successor -> predecessor   {"do":"hello","sessions":true}
 //   predecessor -> successor   {"do":"exclude","member":ID,"number":0} for each exclusion in force
 //   predecessor -> successor   {"do":"welcome"}, once the predecessor is within its share of the limits
 //   either -> the other        {"do":"exclude"|"include","member":ID,"number":N}
 //   the receiver of N          {"do":"held","number":N}
+//
+// Between processes that know them, which the successor tells by "sessions" and the predecessor by its first
+// session_writes:
+//
+//   either -> the other        {"do":"session_writes","complete":true|false}, at first and whenever it
+//   changes either -> the other        {"do":"wrote","cell":G,"session":S,"position":P}, before the client is
+//   answered either -> the other        {"do":"session_writes?"}, which session_writes answers
 #pragma once
 
 #include <cstddef>
@@ -15,10 +22,14 @@
 #include <string_view>
 #include <variant>
 
+#include "sloestack/router.h"
+
 namespace sloestack::hot_restart {
 
 // The successor requests the predecessor's state.
-struct HandshakeRequest {};
+struct HandshakeRequest {
+    bool knows_session_writes = false;  // the sender understands the messages about session writes
+};
 
 // The predecessor has sent its state; the successor may serve.
 struct HandshakeComplete {};
@@ -35,7 +46,17 @@
     std::uint64_t sequence = 0;
 };
 
-using Message = std::variant<HandshakeRequest, HandshakeComplete, ExclusionUpdate, Acknowledgement>;
+// Whether the sender reports to the receiver all session writes of which it knows that they are acknowledged
+// by any other process than the receiver. If it has further peers it does not.
+struct SessionWriteStatus {
+    bool is_complete = false;
+};
+
+// Requests a SessionWriteStatus, which follows all writes that have been reported before.
+struct SessionWriteStatusRequest {};
+
+using Message = std::variant<HandshakeRequest, HandshakeComplete, ExclusionUpdate, Acknowledgement,
+                             SessionWriteStatus, SessionWriteStatusRequest, decision::SessionWrite>;
 
 // The longest line that is read; a peer that sends a longer one is disconnected.
 constexpr std::size_t kMaxLineBytes = std::size_t{64} * 1024;
--- a/src/state/hot_restart/peer_connection.cpp
+++ b/src/state/hot_restart/peer_connection.cpp
@@ -14,7 +14,11 @@
     connection_ = net::Connection::from_socket(loop, fd, kMaxUnreadBytes, *this);
 }
 
-void PeerConnection::send(const Message& message) { connection_->write(encode(message)); }
+void PeerConnection::send(const Message& message) { connection_->write_now(encode(message)); }
+
+void PeerConnection::receive_now() {
+    if (state_ != State::closed) connection_->receive_now();
+}
 
 void PeerConnection::on_handshake_request(Time now) {
     if (state_ == State::connected) state_ = State::joined;
--- a/src/state/hot_restart/peer_connection.h
+++ b/src/state/hot_restart/peer_connection.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 
 #include "deadlines/deadlines.h"
 #include "hot_restart/hot_restart_codec.h"
@@ -42,7 +43,19 @@
     // The timer for the next check whether a successor's handshake can be completed.
     Deadline& handshake_retry() { return handshake_retry_; }
 
+    // Returns whether the peer understands the messages about session writes.
+    bool knows_session_writes() const { return knows_session_writes_; }
+    void set_knows_session_writes() { knows_session_writes_ = true; }
+    // Returns whether the peer reports all session writes: its last SessionWriteStatus.
+    bool reports_session_writes() const { return reports_session_writes_; }
+    void set_reports_session_writes(bool reports) { reports_session_writes_ = reports; }
+    // The status that was last sent to the peer; std::nullopt if none was.
+    std::optional<bool>& sent_status() { return sent_status_; }
+
+    // Hands the message to the kernel at once, unless the peer has not read a lot of earlier ones.
     void send(const Message& message);
+    // Handles the messages that have arrived in the kernel by now, without waiting for the event loop.
+    void receive_now();
     void on_handshake_request(Time now);
     // Stops reading. The owner destroys the connection when none of its functions is on the call stack.
     void close();
@@ -58,6 +71,9 @@
     State state_;
     Time joined_at_ = 0;
     Deadline handshake_retry_;
+    bool knows_session_writes_ = false;
+    bool reports_session_writes_ = false;
+    std::optional<bool> sent_status_;
     std::unique_ptr<net::Connection> connection_;
 };
 
--- a/tests/decision/read_consistency_test.cpp
+++ b/tests/decision/read_consistency_test.cpp
@@ -72,6 +72,52 @@
     }
 }
 
+// Guards against stale session reads during a hot restart: another process has acknowledged the write.
+TEST(ReadConsistency, RequiresASessionWriteThatAnotherProcessReports) {
+    RouterFixture fixture(default_settings());
+    fixture.establish_primary(1);
+    fixture.now += 100'000;
+    fixture.establish_primary(1);
+    for (RequestId id = 1; id < 20; ++id) {
+        fixture.events.emplace_back(SessionWrite{0, 7, fixture.now});
+        fixture.arrive(id, kSessionRead, 7);
+        fixture.step();
+        EXPECT_EQ(fixture.forwarded_to(id), 1u);
+        fixture.attempt_succeeded(id, 1, Role::primary, fixture.now);
+        fixture.step(1);
+    }
+}
+
+// The same while not all of them are reported, as by a process of an earlier version; then any session may
+// have written elsewhere until the last of them was known.
+TEST(ReadConsistency, RequiresTheNewestDataWhileSessionWritesAreNotReported) {
+    RouterFixture fixture(default_settings());
+    fixture.now += 100'000;
+    fixture.establish_primary(1);
+    const auto endpoints_used = [&fixture](RequestId first) {
+        std::set<EndpointId> used;
+        for (RequestId id = first; id < first + 20; ++id) {
+            fixture.arrive(id, kSessionRead, 7);
+            fixture.step();
+            const auto to = fixture.forwarded_to(id);
+            if (!to) continue;
+            used.insert(*to);
+            fixture.attempt_succeeded(id, *to, *to == 1 ? Role::primary : Role::replica,
+                                      fixture.now - 10'000);
+            fixture.step(1);
+        }
+        return used;
+    };
+    EXPECT_GT(endpoints_used(100).size(), 1u);
+    fixture.events.emplace_back(SessionWriteReports{false});
+    EXPECT_EQ(endpoints_used(200), (std::set<EndpointId>{1}));
+    fixture.events.emplace_back(SessionWriteReports{true});
+    EXPECT_EQ(endpoints_used(300), (std::set<EndpointId>{1}));
+    fixture.now += 100'000;
+    fixture.establish_primary(1);
+    EXPECT_GT(endpoints_used(400).size(), 1u);
+}
+
 // Guards against stale session reads from an endpoint that joins with an older copy after the session's token
 // was erased.
 TEST(ReadConsistency, AppliesAnErasedSessionTokenToAnEndpointFromAnOlderCopy) {
--- a/tests/integration/hot_restart_scenarios.cpp
+++ b/tests/integration/hot_restart_scenarios.cpp
@@ -76,6 +76,51 @@
         b expect auth_ok ready)");
 }
 
+ProxySetup setup_with_sessions() {
+    auto setup = hot_restart_setup();
+    setup.settings["specifics"] = {{"class-read", {"causal", "mutate"}}, {"write-marks", "kept"}};
+    return setup;
+}
+
+// A session read at the new process a value before its own write, which the old process had acknowledged.
+TEST(HotRestart, ReportsSessionWritesToTheOtherProcess) {
+    play(setup_with_sessions(), R"(
+        u send line:{"do":"hello","sessions":true}
+        u expect line:"complete":true line:welcome
+        u send line:{"do":"session_writes","complete":true}
+        a send startup write:1
+        a expect auth_ok ready
+        m1.1 expect startup
+        m1.1 send auth_ok
+        m1.1 expect query:id=1
+        m1.1 send row:v
+        a expect row:v ready
+        u expect line:"wrote"
+        u send line:{"do":"session_writes?"}
+        u expect line:"complete":true
+        u2 send line:{"do":"hello","sessions":true}
+        u2 expect line:"complete":false line:welcome
+        u expect line:"complete":false
+        u2 close
+        u expect line:"complete":true)");
+}
+
+// A process of an earlier version would close the connection at a message that it does not know.
+TEST(HotRestart, SendsNoSessionWritesToAProcessThatDoesNotKnowThem) {
+    play(setup_with_sessions(), R"(
+        u send line:{"do":"hello"}
+        u expect line:welcome
+        a send startup write:1
+        a expect auth_ok ready
+        m1.1 expect startup
+        m1.1 send auth_ok
+        m1.1 expect query:id=1
+        m1.1 send row:v
+        a expect row:v ready
+        o send request:POST:/api/exclude?id=m2
+        u expect line:"exclude")");
+}
+
 // The hot restart socket that a crashed process leaves behind must not keep the next process from starting.
 TEST(HotRestart, ReplacesTheSocketOfACrashedProcess) {
     play(hot_restart_setup(128), R"(
--- a/tests/integration/scenario.cpp
+++ b/tests/integration/scenario.cpp
@@ -147,7 +147,11 @@
             return peers_[actor];
         }
         auto& peer = peers_[actor];
-        if (peer.fd < 0 && !peer.ended) connect(peer, port_for(actor));
+        if (peer.fd >= 0 || peer.ended) return peer;
+        if (actor[0] == 'u')
+            peer.fd = proxy_.connect_as_other_process();
+        else
+            connect(peer, port_for(actor));
         return peer;
     }
 
--- a/tests/integration/scenario.h
+++ b/tests/integration/scenario.h
@@ -5,12 +5,13 @@
 // A line is one step, `ACTOR VERB [WORD ...]`. `#` begins a comment; empty lines are skipped.
 //
 // Actors:
-//   a, b, c0      clients; any name that does not begin with d, n or o. Connect when they are first named
+//   a, b, c0      clients; any name that does not begin with d, n, o or u. Connect when they are first named
 //   m1.1, m2.1    the first connection that the proxy opens to endpoint m1, or m2; m1.2 is the second to m1
 //   d.1           the first connection that the proxy opens to discovery
 //   d2.1          the first connection to the discovery server that `proxy reload d2` configures
 //   o, o1, o2     operators: connections to the admin server of the proxy
 //   n, n1, n2     operators: connections to the admin server of the successor
+//   u, u1, u2     other processes of the proxy: connections to its hot restart socket
 //   proxy         the proxy process
 // A step of a connection that the proxy opens waits until that connection exists.
 //
@@ -73,6 +74,8 @@
 // for operators:
 //   request:METHOD:PATH       an HTTP request
 //   partial:TEXT              an incomplete HTTP request
+// for other processes:
+//   line:JSON                 a line of the protocol between the processes
 //
 // Words of `expect`, for all actors:
 //   end                       the proxy has closed the connection
@@ -95,6 +98,8 @@
 // for operators:
 //   status:CODE               an HTTP response with this status
 //   body:PART                 the body of that response contains this text
+// for other processes:
+//   line:PART                 a line that contains this text
 #pragma once
 
 #include <nlohmann/json.hpp>
--- a/tests/integration/scenario_proxy.cpp
+++ b/tests/integration/scenario_proxy.cpp
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "check.h"
+#include "hot_restart/unix_socket.h"
 #include "scenario_peer.h"
 
 using nlohmann::json;
@@ -116,6 +117,12 @@
     raise(SIGHUP);
 }
 
+int ScenarioProxy::connect_as_other_process() const {
+    const auto fd = sloestack::hot_restart::connect_unix_socket(scratch_folder_ + "/sloestack-test");
+    CHECK(fd.has_value());
+    return *fd;
+}
+
 std::unique_ptr<Server> ScenarioProxy::make_server() const { return std::make_unique<Server>(read_config()); }
 
 // As in production, the environment contains the discovery address too, and cannot change while the process
--- a/tests/integration/scenario_proxy.h
+++ b/tests/integration/scenario_proxy.h
@@ -30,6 +30,9 @@
     /// scenario.h).
     void reload(const std::string& change);
 
+    /// Connects to the hot restart socket of the newest process. The caller owns the descriptor.
+    int connect_as_other_process() const;
+
     std::uint16_t client_port() const { return newest().port(); }
     std::uint16_t admin_port() const { return server_->admin_port(); }
     std::uint16_t newest_admin_port() const { return newest().admin_port(); }
--- a/tests/integration/scenario_words.cpp
+++ b/tests/integration/scenario_words.cpp
@@ -132,6 +132,7 @@
         // operators and discovery
         {"request", http_request},
         {"partial", [](auto& text) { return text; }},
+        {"line", [](auto& text) { return text + "\n"; }},
         {"status", [](auto& text) { return "HTTP/1.1 " + text + " Odd\r\nContent-Length: 0\r\n\r\n"; }},
     };
     return kEncoders;
@@ -165,6 +166,14 @@
     return "body:" + body;
 }
 
+std::optional<std::string> take_line(ScenarioPeer& peer) {
+    const auto end = peer.incoming.find('\n');
+    if (end == std::string::npos) return end_if_closed(peer);
+    const auto line = peer.incoming.substr(0, end);
+    peer.incoming.erase(0, end + 1);
+    return "line:" + line;
+}
+
 std::string error_word(pgwire::FieldReader& body) {
     std::map<char, std::string> fields;
     while (const char field = static_cast<char>(body.byte())) fields[field] = body.text();
@@ -235,6 +244,7 @@
     peer.read();
     if (actor[0] == 'd') return take_poll(peer);
     if (actor[0] == 'o' || actor[0] == 'n') return take_admin_response(peer);
+    if (actor[0] == 'u') return take_line(peer);
     const bool is_endpoint = actor.find('.') != std::string::npos;
     if (is_endpoint && !peer.started) return take_startup(peer);
     if (!is_endpoint && !peer.started && peer.incoming.substr(0, 1) == "N") {
@@ -250,7 +260,8 @@
     if (expected == "rejected:retry_after")
         return received_kind == "error" && received_text.substr(0, 6) == "53300:" && received_text[6] != '0';
     const bool is_code_alone = kind == "error" && part.size() == 5;
-    const bool contains = kind == "query" || kind == "poll" || kind == "body" || is_code_alone;
+    const bool contains =
+        kind == "query" || kind == "poll" || kind == "body" || kind == "line" || is_code_alone;
     if (!contains) return received == expected;
     return received_kind == kind && received_text.find(part) != std::string::npos;
 }
--- a/tests/state/hot_restart_codec_test.cpp
+++ b/tests/state/hot_restart_codec_test.cpp
@@ -10,6 +10,12 @@
 
 TEST(HotRestartCodec, EncodesTheExactBytes) {
     EXPECT_EQ(encode(HandshakeRequest{}), "{\"do\":\"hello\"}\n");
+    EXPECT_EQ(encode(HandshakeRequest{true}), "{\"do\":\"hello\",\"sessions\":true}\n");
+    EXPECT_EQ(encode(SessionWriteStatus{true}), "{\"complete\":true,\"do\":\"session_writes\"}\n");
+    EXPECT_EQ(encode(SessionWriteStatusRequest{}), "{\"do\":\"session_writes?\"}\n");
+    EXPECT_EQ(
+        encode(sloestack::decision::SessionWrite{2, 18'446'744'073'709'551'615u, 1'700'000'000'000'000}),
+        "{\"cell\":2,\"do\":\"wrote\",\"position\":1700000000000000,\"session\":18446744073709551615}\n");
     EXPECT_EQ(encode(HandshakeComplete{}), "{\"do\":\"welcome\"}\n");
     EXPECT_EQ(encode(ExclusionUpdate{true, "s-5be2a07c", 0}),
               "{\"do\":\"exclude\",\"member\":\"s-5be2a07c\",\"number\":0}\n");
@@ -36,6 +42,18 @@
     EXPECT_FALSE(included.excluded);
     EXPECT_EQ(included.endpoint, "");
     EXPECT_EQ(included.sequence, 0u);
+    EXPECT_FALSE(std::get<HandshakeRequest>(decode(R"({"do":"hello"})").value()).knows_session_writes);
+    EXPECT_TRUE(
+        std::get<HandshakeRequest>(decode(R"({"do":"hello","sessions":true})").value()).knows_session_writes);
+    EXPECT_TRUE(std::get<SessionWriteStatus>(decode(R"({"do":"session_writes","complete":true})").value())
+                    .is_complete);
+    EXPECT_TRUE(
+        std::holds_alternative<SessionWriteStatusRequest>(decode(R"({"do":"session_writes?"})").value()));
+    const auto write = std::get<sloestack::decision::SessionWrite>(
+        decode(R"({"do":"wrote","cell":3,"session":18446744073709551615,"position":5})").value());
+    EXPECT_EQ(write.replica_group, 3);
+    EXPECT_EQ(write.session, 18'446'744'073'709'551'615u);
+    EXPECT_EQ(write.position, 5);
     const auto acknowledgement =
         std::get<Acknowledgement>(decode(R"({"do":"held","number":18446744073709551615})").value());
     EXPECT_EQ(acknowledgement.sequence, 18'446'744'073'709'551'615u);
@@ -63,6 +81,12 @@
                              R"({"do":"include","member":"a","number":-1})",
                              R"({"do":"include","member":"a","number":1.5})",
                              R"({"do":"include","member":"a","number":"1"})",
+                             R"({"do":"session_writes"})",
+                             R"({"do":"session_writes","complete":1})",
+                             R"({"do":"wrote","session":1,"position":5})",
+                             R"({"do":"wrote","cell":3,"position":5})",
+                             R"({"do":"wrote","cell":3,"session":"1","position":5})",
+                             R"({"do":"wrote","cell":3,"session":1,"position":1.5})",
                              R"({"do":"held"})",
                              R"({"do":"held","number":-1})",
                              R"({"do":"held","number":null})",
