Tell the decision module the end of a write before a read that waited behind it

Callers saw: a session read that a client had sent behind its own write, on the same connection, could be answered from a replica without the write. Cause: DispatchLoop::on_attempt_ended answered the client, which reads and submits the next query, before it queued the end of the write: the read's required position was computed without the write. The rule excuses reads of the same batch, users do not. Change: the end is queued first. Evidence: DispatchLoopTest.ReportsTheEndOfAWriteBeforeAReadThatWaitedBehindIt failed before (the read went to the replica) and passes with the change.

--- a/src/core/dispatch_loop/inputs.cpp
+++ b/src/core/dispatch_loop/inputs.cpp
@@ -73,17 +73,19 @@
     SLOESTACK_INVARIANT(value.has_value() == (end.outcome == Outcome::ok),
                         "an attempt has a value if and only if its outcome is ok");
     const auto* request = requests_.find(end.request);
+    bool is_response = false;
     if (request) {
         metrics_.count_attempt_ended(request->request_class, end.outcome);
         announce_session_write(*request, end);
-        // The first value goes to the client unchanged and ends the request without a decision of the module.
-        const bool is_response =
+        is_response =
             request->streaming_attempt ? *request->streaming_attempt == end.attempt : value.has_value();
-        if (is_response) respond(end.request, *request, value);
     }
+    // Queued before the response, on which the client's next query may be submitted.
     auto event = end;
-    event.request_ended = !request || !request->sink;
+    event.request_ended = is_response || !request || !request->sink;
     queued_events_.emplace_back(event);
+    // The first value goes to the client unchanged and ends the request without a decision of the module.
+    if (is_response) respond(end.request, *request, value);
 }
 
 void DispatchLoop::announce_session_write(const OpenRequest& request,
--- a/tests/core/dispatch_loop_test.cpp
+++ b/tests/core/dispatch_loop_test.cpp
@@ -130,6 +130,25 @@
     EXPECT_EQ(announced_[0].position, clock_.time);
 }
 
+// Guards against stale session reads: a read that the client has sent behind its write is submitted as soon
+// as the write is answered, and must not reach the decision module first.
+TEST_F(DispatchLoopTest, ReportsTheEndOfAWriteBeforeAReadThatWaitedBehindIt) {
+    for (int i = 0; i < 10; ++i) {
+        clock_.time += 10'000;
+        report_positions();
+        Sink write_sink;
+        Sink read_sink;
+        write_sink.on_response = [&] { submit(kSessionRead, read_sink); };
+        submit(kWrite, write_sink);
+        loop_.run_iteration();
+        succeed(decision::Role::primary);
+        loop_.run_iteration();
+        ASSERT_EQ(endpoints_.attempts.back().endpoint, kPrimary);
+        succeed(decision::Role::primary);
+        loop_.run_iteration();
+    }
+}
+
 // A write that another process reports while a read of its session is queued is known before the read.
 TEST_F(DispatchLoopTest, HandlesAReportedSessionWriteBeforeQueuedArrivals) {
     for (int i = 0; i < 10; ++i) {
