Let a process whose successor has ended be found by the next one

Callers saw: an operator's exclusion was lost. Cause: the successor replaces the socket at the path as soon as it serves, and nobody listened there again: the old process only recounted the processes when its successor disconnected. The same happens if the successor ends by SIGTERM, if one in a row of three ends, or if binding the socket failed once (ENOSPC, a missing folder). Change: the path belongs to the newest process. A process that has lost its successor, or whose file at the path was replaced by a process that it does not know, joins the one that listens there, or listens itself; it checks at the loss and every 100 ms. A new process that finds a dead socket tries again for 50 ms, and for 2.5 s if a system call has failed, before it serves alone; a process that ends in order removes its socket. Exclusions are passed on only if they change something, as there may be circles now.

--- a/src/state/hot_restart/hot_restart.cpp
+++ b/src/state/hot_restart/hot_restart.cpp
@@ -1,7 +1,10 @@
 #include "hot_restart/hot_restart.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <utility>
+#include <variant>
 
 #include "hot_restart/unix_socket.h"
 #include "log/log.h"
@@ -14,6 +17,9 @@
 constexpr Micros kHandshakeTimeoutUs = 2'500'000;  // the platform waits 6 s for a new process to become ready
 constexpr Micros kMaxShrinkTimeUs = 1'000'000;     // how long a predecessor may take to get within its share
 constexpr Micros kShareCheckIntervalUs = 10'000;
+constexpr Micros kConnectRetryIntervalUs = 10'000;
+constexpr Micros kTakeoverTimeUs = 50'000;  // for an older process to notice that its successor has ended
+constexpr Micros kPathCheckIntervalUs = 100'000;
 
 const char* log_subject(Role role) { return role == Role::successor ? "successor" : "predecessor"; }
 
@@ -25,13 +31,32 @@
       path_(std::move(path)),
       handler_(handler),
       acknowledgements_(deadlines) {}
-HotRestart::~HotRestart() = default;
 
-void HotRestart::start() {
-    const auto fd = connect_unix_socket(path_);
-    if (!fd) return start_serving();
-    auto predecessor = open_peer(*fd, Role::predecessor);
-    if (!predecessor) return start_serving();
+// The next process must not take the socket for that of a process that has crashed.
+HotRestart::~HotRestart() {
+    if (listener_ && !is_file_replaced(path_, listener_file_)) unlink(path_.c_str());
+}
+
+void HotRestart::start() { connect_to_predecessor(deadlines_.now()); }
+
+// If the process that listened at the path has ended, an older one may be about to listen there.
+void HotRestart::connect_to_predecessor(Time started_at) {
+    const auto result = connect_unix_socket(path_);
+    if (const auto* fd = std::get_if<evutil_socket_t>(&result)) {
+        auto predecessor = open_peer(*fd, Role::predecessor);
+        if (predecessor) return request_handover(std::move(predecessor));
+    }
+    const auto* failure = std::get_if<ConnectFailure>(&result);
+    if (failure && *failure == ConnectFailure::no_socket) return start_serving();
+    const bool has_ended = failure && *failure == ConnectFailure::no_listener;
+    const Time give_up_at = started_at + (has_ended ? kTakeoverTimeUs : kHandshakeTimeoutUs);
+    const Time now = deadlines_.now();
+    if (now >= give_up_at) return start_serving();
+    connect_retry_.set(deadlines_, now + kConnectRetryIntervalUs,
+                       [this, started_at] { connect_to_predecessor(started_at); });
+}
+
+void HotRestart::request_handover(std::unique_ptr<PeerConnection> predecessor) {
     predecessor->send(HandshakeRequest{true});
     peers_.push_back(std::move(predecessor));
     report_process_count();
@@ -48,21 +73,55 @@
     state_ = State::serving;
     handshake_timeout_.clear();
     listen();
+    check_path_later();
     handler_.on_handover_complete();
 }
 
-// Replaces the predecessor's socket at the path. The predecessor has its connection to this process by now
-// and no longer needs the path.
+// Replaces the socket at the path, if any. A predecessor has its connection to this process by now and no
+// longer needs the path.
 void HotRestart::listen() {
     try {
-        const auto fd = listen_on_unix_socket(path_);
+        const auto listener = listen_on_unix_socket(path_);
+        listener_file_ = listener.file;
         listener_ = std::make_unique<net::Listener>(
-            loop_, fd, [this](evutil_socket_t peer) { on_accepted(peer); }, [] {});
+            loop_, listener.socket, [this](evutil_socket_t peer) { on_accepted(peer); }, [] {});
     } catch (const SocketError& error) {
         log::line("hot restart socket unavailable", error.what());
     }
 }
 
+void HotRestart::check_path() {
+    if (state_ != State::serving) return;
+    if (!listener_) return listen();
+    if (has_successor() || !is_file_replaced(path_, listener_file_)) return;
+    const auto result = connect_unix_socket(path_);
+    if (const auto* fd = std::get_if<evutil_socket_t>(&result)) return join_newer_process(*fd);
+    if (std::get<ConnectFailure>(result) != ConnectFailure::temporary) listen();
+}
+
+void HotRestart::check_path_later() {
+    path_check_.set(deadlines_, deadlines_.now() + kPathCheckIntervalUs, [this] {
+        check_path();
+        check_path_later();
+    });
+}
+
+void HotRestart::join_newer_process(evutil_socket_t fd) {
+    auto newer = open_peer(fd, Role::successor);
+    if (!newer) return;
+    log::line("successor", "joined");
+    newer->join(deadlines_.now());
+    newer->send(HandshakeRequest{true, true});
+    send_exclusions(*newer);
+    peers_.push_back(std::move(newer));
+    report_process_count();
+    update_session_write_reports();
+}
+
+void HotRestart::send_exclusions(PeerConnection& peer) {
+    for (const auto& endpoint : handler_.excluded_endpoints()) peer.send(ExclusionUpdate{true, endpoint, 0});
+}
+
 std::unique_ptr<PeerConnection> HotRestart::open_peer(evutil_socket_t fd, Role role) {
     auto peer = std::make_unique<PeerConnection>(loop_, fd, role, static_cast<PeerEvents&>(*this));
     return peer->is_open() ? std::move(peer) : nullptr;
@@ -105,23 +164,27 @@
 
 void HotRestart::handle(PeerConnection& peer, const HandshakeRequest& request) {
     if (peer.role() != Role::successor) return on_disconnected(peer);
-    log::line("successor", "connected");
-    peer.on_handshake_request(deadlines_.now());
+    if (request.is_older) peer.set_role(Role::predecessor);
+    log::line(log_subject(peer.role()), "connected");
+    peer.join(deadlines_.now());
     if (request.knows_session_writes) peer.set_knows_session_writes();
     report_process_count();
     update_session_write_reports();
-    for (const auto& endpoint : handler_.excluded_endpoints()) peer.send(ExclusionUpdate{true, endpoint, 0});
+    send_exclusions(peer);
     complete_handshake_within_share(peer);
 }
 
-void HotRestart::handle(PeerConnection&, const HandshakeComplete&) {
+void HotRestart::handle(PeerConnection& peer, const HandshakeComplete&) {
+    if (peer.role() != Role::predecessor) return;  // this process has joined a newer one
     log::line("predecessor", "handover complete");
     start_serving();
 }
 
 void HotRestart::handle(PeerConnection& peer, const ExclusionUpdate& update) {
+    // Passed on only if it changes something, because processes may be connected in a circle.
+    const bool was_excluded = handler_.excluded_endpoints().count(update.endpoint) > 0;
     handler_.on_exclusion_update(update.endpoint, update.excluded);
-    broadcast({update.excluded, update.endpoint, 0}, &peer);
+    if (update.excluded != was_excluded) broadcast({update.excluded, update.endpoint, 0}, &peer);
     peer.send(Acknowledgement{update.sequence});
 }
 
@@ -166,6 +229,7 @@
     update_session_write_reports();
     // The predecessor may have ended before the handshake was complete.
     if (peer.role() == Role::predecessor) start_serving();
+    check_path();
 }
 
 HotRestart::Peers HotRestart::broadcast(const ExclusionUpdate& update, const PeerConnection* except) {
--- a/src/state/hot_restart/hot_restart.h
+++ b/src/state/hot_restart/hot_restart.h
@@ -3,6 +3,9 @@
 // (the predecessor). The predecessor sends the exclusions in force, and each then sends
 // the other later changes. While both run, each uses its share of the limits on sockets
 // and memory. A process may have a predecessor and successors at the same time.
+//
+// The socket's path belongs to the newest process. A process whose successor has ended listens at the path
+// again, or joins the process that listens there by now.
 #pragma once
 
 #include <cstdint>
@@ -15,6 +18,7 @@
 #include "deadlines/deadlines.h"
 #include "hot_restart/acknowledgement_tracker.h"
 #include "hot_restart/peer_connection.h"
+#include "hot_restart/unix_socket.h"
 #include "transport/connection.h"
 #include "transport/listener.h"
 
@@ -51,7 +55,8 @@
     HotRestart(net::Loop& loop, Deadlines& deadlines, std::string path, HotRestartHandler& handler);
     ~HotRestart();
 
-    // Connects to the predecessor. If there is none, on_handover_complete is called before this returns.
+    // Connects to the predecessor. If there is no socket at the path, on_handover_complete is called before
+    // this returns.
     void start();
     // Returns whether a successor has requested the handshake and is still connected.
     bool has_successor() const;
@@ -81,8 +86,15 @@
     void handle(PeerConnection& peer, const SessionWriteStatusRequest& request);
     void handle(PeerConnection& peer, const decision::SessionWrite& write);
 
+    void connect_to_predecessor(Time started_at);
+    void request_handover(std::unique_ptr<PeerConnection> predecessor);
     void start_serving();
     void listen();
+    // Makes sure that the next process finds this one, or one that this one is connected to.
+    void check_path();
+    void check_path_later();
+    void join_newer_process(evutil_socket_t fd);
+    void send_exclusions(PeerConnection& peer);
     // Takes ownership of `fd`. Returns null if no connection could be created for it.
     std::unique_ptr<PeerConnection> open_peer(evutil_socket_t fd, PeerConnection::Role role);
     void on_accepted(evutil_socket_t fd);
@@ -102,8 +114,11 @@
     std::uint64_t last_sequence_ = 0;
     State state_ = State::awaiting_predecessor;
     bool reports_are_complete_ = true;
+    Deadline connect_retry_;
     Deadline handshake_timeout_;
+    Deadline path_check_;
     std::unique_ptr<net::Listener> listener_;
+    FileId listener_file_;
 };
 
 }  // namespace sloestack::hot_restart
--- a/src/state/hot_restart/hot_restart_codec.cpp
+++ b/src/state/hot_restart/hot_restart_codec.cpp
@@ -20,6 +20,7 @@
 constexpr const char* kSessionWriteStatusRequest = "session_writes?";
 constexpr const char* kSessionWrite = "wrote";
 constexpr const char* kKnowsSessionWritesKey = "sessions";
+constexpr const char* kOlderKey = "older";
 constexpr const char* kCompleteKey = "complete";
 constexpr const char* kReplicaGroupKey = "cell";
 constexpr const char* kSessionKey = "session";
@@ -29,6 +30,7 @@
     json operator()(const HandshakeRequest& request) const {
         json out = {{kTypeKey, kHandshakeRequest}};
         if (request.knows_session_writes) out[kKnowsSessionWritesKey] = true;
+        if (request.is_older) out[kOlderKey] = true;
         return out;
     }
     json operator()(const HandshakeComplete&) const { return {{kTypeKey, kHandshakeComplete}}; }
@@ -116,7 +118,8 @@
     const auto type = text_at(object, kTypeKey);
     if (!type) return std::nullopt;
     if (*type == kHandshakeRequest)
-        return HandshakeRequest{flag_at(object, kKnowsSessionWritesKey).value_or(false)};
+        return HandshakeRequest{flag_at(object, kKnowsSessionWritesKey).value_or(false),
+                                flag_at(object, kOlderKey).value_or(false)};
     if (*type == kHandshakeComplete) return HandshakeComplete{};
     if (*type == kExclude) return decode_exclusion_update(object, true);
     if (*type == kInclude) return decode_exclusion_update(object, false);
--- a/src/state/hot_restart/hot_restart_codec.h
+++ b/src/state/hot_restart/hot_restart_codec.h
@@ -1,7 +1,9 @@
 // The protocol between the old and the new process of a hot restart: one JSON object per line on a Unix
 // stream socket. The keys and types must not change, because the two processes may be of different versions.
 //
-//   successor -> predecessor   {"do":"hello","sessions":true}
+//   successor -> predecessor   {"do":"hello","sessions":true}; with "older":true the roles are reversed: a
+//   process
+//                              that has lost its successor joins the newest one
 //   predecessor -> successor   {"do":"exclude","member":ID,"number":0} for each exclusion in force
 //   predecessor -> successor   {"do":"welcome"}, once the predecessor is within its share of the limits
 //   either -> the other        {"do":"exclude"|"include","member":ID,"number":N}
@@ -29,6 +31,7 @@
 // The successor requests the predecessor's state.
 struct HandshakeRequest {
     bool knows_session_writes = false;  // the sender understands the messages about session writes
+    bool is_older = false;              // the sender serves already, and has lost its successor
 };
 
 // The predecessor has sent its state; the successor may serve.
--- a/src/state/hot_restart/peer_connection.cpp
+++ b/src/state/hot_restart/peer_connection.cpp
@@ -20,7 +20,7 @@
     if (state_ != State::closed) connection_->receive_now();
 }
 
-void PeerConnection::on_handshake_request(Time now) {
+void PeerConnection::join(Time now) {
     if (state_ == State::connected) state_ = State::joined;
     joined_at_ = now;
 }
--- a/src/state/hot_restart/peer_connection.h
+++ b/src/state/hot_restart/peer_connection.h
@@ -29,16 +29,17 @@
 public:
     enum class Role { predecessor, successor };
 
-    // Takes ownership of `fd`. `events` must outlive the connection.
+    // Takes ownership of `fd`. `events` must outlive the connection. A predecessor has joined from the start.
     PeerConnection(net::Loop& loop, evutil_socket_t fd, Role role, PeerEvents& events);
 
     // Returns whether a connection could be created for the socket. If not, the object can only be destroyed.
     bool is_open() const { return connection_ != nullptr; }
     Role role() const { return role_; }
+    void set_role(Role role) { role_ = role; }
     // Returns whether the peer shares this process's limits and receives updates: a predecessor always, a
-    // successor from its handshake request on. Until then the peer may be any process that has connected.
+    // successor from the handshake on. Until then the peer may be any process that has connected.
     bool is_joined() const { return state_ == State::joined; }
-    // Returns the time of a successor's last handshake request.
+    // Returns the time when a successor joined.
     Time joined_at() const { return joined_at_; }
     // The timer for the next check whether a successor's handshake can be completed.
     Deadline& handshake_retry() { return handshake_retry_; }
@@ -56,7 +57,7 @@
     void send(const Message& message);
     // Handles the messages that have arrived in the kernel by now, without waiting for the event loop.
     void receive_now();
-    void on_handshake_request(Time now);
+    void join(Time now);
     // Stops reading. The owner destroys the connection when none of its functions is on the call stack.
     void close();
 
--- a/tests/integration/scenario_proxy.cpp
+++ b/tests/integration/scenario_proxy.cpp
@@ -118,9 +118,9 @@
 }
 
 int ScenarioProxy::connect_as_other_process() const {
-    const auto fd = sloestack::hot_restart::connect_unix_socket(scratch_folder_ + "/sloestack-test");
-    CHECK(fd.has_value());
-    return *fd;
+    const auto result = sloestack::hot_restart::connect_unix_socket(scratch_folder_ + "/sloestack-test");
+    CHECK(std::holds_alternative<evutil_socket_t>(result));
+    return std::get<evutil_socket_t>(result);
 }
 
 std::unique_ptr<Server> ScenarioProxy::make_server() const { return std::make_unique<Server>(read_config()); }
--- a/tests/state/hot_restart_codec_test.cpp
+++ b/tests/state/hot_restart_codec_test.cpp
@@ -11,6 +11,7 @@
 TEST(HotRestartCodec, EncodesTheExactBytes) {
     EXPECT_EQ(encode(HandshakeRequest{}), "{\"do\":\"hello\"}\n");
     EXPECT_EQ(encode(HandshakeRequest{true}), "{\"do\":\"hello\",\"sessions\":true}\n");
+    EXPECT_EQ(encode(HandshakeRequest{true, true}), "{\"do\":\"hello\",\"older\":true,\"sessions\":true}\n");
     EXPECT_EQ(encode(SessionWriteStatus{true}), "{\"complete\":true,\"do\":\"session_writes\"}\n");
     EXPECT_EQ(encode(SessionWriteStatusRequest{}), "{\"do\":\"session_writes?\"}\n");
     EXPECT_EQ(
@@ -49,6 +50,7 @@
                     .is_complete);
     EXPECT_TRUE(
         std::holds_alternative<SessionWriteStatusRequest>(decode(R"({"do":"session_writes?"})").value()));
+    EXPECT_TRUE(std::get<HandshakeRequest>(decode(R"({"do":"hello","older":true})").value()).is_older);
     const auto write = std::get<sloestack::decision::SessionWrite>(
         decode(R"({"do":"wrote","cell":3,"session":18446744073709551615,"position":5})").value());
     EXPECT_EQ(write.replica_group, 3);
--- a/tests/state/hot_restart_test.cpp
+++ b/tests/state/hot_restart_test.cpp
@@ -1,11 +1,16 @@
-// Two processes of a proxy, each with an event loop of its own, that report session writes to each other.
+// The processes of a proxy during hot restarts, each with an event loop of its own: how they find each other,
+// and what they report to each other.
 #include "hot_restart/hot_restart.h"
 
 #include <gtest/gtest.h>
 #include <stdlib.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/un.h>
 #include <unistd.h>
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -78,6 +83,16 @@
         for (auto& each : processes_)
             if (each.get() == &process) each.reset();
     }
+    // Leaves a socket at the path that nobody listens at, as a process does that is killed.
+    void leave_dead_socket() const {
+        sockaddr_un address{};
+        address.sun_family = AF_UNIX;
+        path().copy(address.sun_path, sizeof address.sun_path - 1);
+        unlink(path().c_str());
+        const int dead = socket(AF_UNIX, SOCK_STREAM, 0);
+        EXPECT_EQ(bind(dead, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
+        close(dead);
+    }
     template <class Condition>
     ::testing::AssertionResult run_until(Condition condition) {
         for (int i = 0; i < kMaxIterations; ++i) {
@@ -143,4 +158,78 @@
     EXPECT_EQ(received_when_complete, kWrites);
 }
 
+// A new version that died kept the next one from finding the old process, whose exclusions were lost.
+TEST_F(HotRestartTest, TheNextProcessFindsTheOldOneAfterANewOneHasDied) {
+    auto& old_process = start();
+    old_process.excluded = {"m"};
+    auto& new_process = start();
+    ASSERT_TRUE(run_until([&] { return new_process.is_serving; }));
+    kill(new_process);
+    leave_dead_socket();
+    ASSERT_TRUE(run_until([&] { return old_process.process_count == 1; }));
+    auto& next_process = start();
+    ASSERT_TRUE(run_until([&] { return next_process.is_serving; }));
+    EXPECT_EQ(next_process.excluded.count("m"), 1U);
+    EXPECT_EQ(next_process.process_count, 2);
+    EXPECT_EQ(old_process.process_count, 2);
+}
+
+// The same if the next process starts before the old one has noticed.
+TEST_F(HotRestartTest, TheNextProcessWaitsUntilTheOldOneHasNoticed) {
+    auto& old_process = start();
+    old_process.excluded = {"m"};
+    auto& new_process = start();
+    ASSERT_TRUE(run_until([&] { return new_process.is_serving; }));
+    kill(new_process);
+    leave_dead_socket();
+    auto& next_process = start();
+    EXPECT_FALSE(next_process.is_serving);
+    ASSERT_TRUE(run_until([&] { return next_process.is_serving; }));
+    EXPECT_EQ(next_process.excluded.count("m"), 1U);
+}
+
+// The same in a row of three processes, of which the one in the middle ends.
+TEST_F(HotRestartTest, TheFirstAndTheLastProcessFindEachOther) {
+    auto& first = start();
+    auto& middle = start();
+    ASSERT_TRUE(run_until([&] { return middle.is_serving; }));
+    auto& last = start();
+    ASSERT_TRUE(run_until([&] { return last.is_serving; }));
+    kill(middle);
+    ASSERT_TRUE(run_until([&] { return first.process_count == 2 && last.process_count == 2; }));
+    ASSERT_TRUE(run_until([&] { return first.reports_are_complete && last.reports_are_complete; }));
+    EXPECT_TRUE(first.hot_restart().has_successor());
+    EXPECT_FALSE(last.hot_restart().has_successor());
+    bool is_confirmed = false;
+    first.excluded.insert("m");
+    first.hot_restart().send_exclusion_update("m", true, [&] { is_confirmed = true; });
+    ASSERT_TRUE(run_until([&] { return is_confirmed; }));
+    EXPECT_EQ(last.excluded.count("m"), 1U);
+}
+
+// A process that has replaced the socket without knowing of the old one is joined by it.
+TEST_F(HotRestartTest, AProcessThatLosesThePathJoinsTheOneThatHasIt) {
+    auto& old_process = start();
+    old_process.excluded = {"m"};
+    leave_dead_socket();
+    auto& next_process = start();
+    while (!next_process.is_serving) next_process.run_once();
+    EXPECT_EQ(next_process.process_count, 1);
+    ASSERT_TRUE(run_until([&] { return old_process.process_count == 2 && next_process.process_count == 2; }));
+    ASSERT_TRUE(run_until([&] { return next_process.excluded.count("m") == 1; }));
+}
+
+// A folder that cannot be written to for a while keeps the next process from finding this one only so long.
+TEST_F(HotRestartTest, ListensAgainAfterAFailure) {
+    ASSERT_EQ(rmdir(folder_.c_str()), 0);
+    auto& old_process = start();
+    old_process.excluded = {"m"};
+    EXPECT_TRUE(old_process.is_serving);
+    ASSERT_EQ(mkdir(folder_.c_str(), 0700), 0);
+    ASSERT_TRUE(run_until([&] { return access(path().c_str(), F_OK) == 0; }));
+    auto& new_process = start();
+    ASSERT_TRUE(run_until([&] { return new_process.is_serving; }));
+    EXPECT_EQ(new_process.excluded.count("m"), 1U);
+}
+
 }  // namespace
