Accept at the hot restart socket again after accept() has failed

Callers saw (by the test): after one accept() had failed for want of descriptors, every later process waited 2.5 s for the handshake and then served alone, without the exclusions. Cause: net::Listener pauses when accept() fails, and HotRestart passed an empty callback that never resumed it. Change: it resumes after 20 ms. A failure to listen is logged when its reason changes, since it is now tried again. Evidence: HotRestartTest.AcceptsAgainAfterAFailure failed before (the new process did not serve within 1 s) and passes; state_tests 14 of 14.

--- a/src/state/hot_restart/hot_restart.cpp
+++ b/src/state/hot_restart/hot_restart.cpp
@@ -17,6 +17,7 @@
 constexpr Micros kHandshakeTimeoutUs = 2'500'000;  // the platform waits 6 s for a new process to become ready
 constexpr Micros kMaxShrinkTimeUs = 1'000'000;     // how long a predecessor may take to get within its share
 constexpr Micros kShareCheckIntervalUs = 10'000;
+constexpr Micros kAcceptPauseUs = 20'000;  // after accept() has failed
 constexpr Micros kConnectRetryIntervalUs = 10'000;
 constexpr Micros kTakeoverTimeUs = 50'000;  // for an older process to notice that its successor has ended
 constexpr Micros kPathCheckIntervalUs = 100'000;
@@ -84,12 +85,19 @@
         const auto listener = listen_on_unix_socket(path_);
         listener_file_ = listener.file;
         listener_ = std::make_unique<net::Listener>(
-            loop_, listener.socket, [this](evutil_socket_t peer) { on_accepted(peer); }, [] {});
+            loop_, listener.socket, [this](evutil_socket_t peer) { on_accepted(peer); },
+            [this] { accept_later(); });
+        listen_error_.clear();
     } catch (const SocketError& error) {
-        log::line("hot restart socket unavailable", error.what());
+        if (std::exchange(listen_error_, error.what()) != error.what())
+            log::line("hot restart socket unavailable", error.what());
     }
 }
 
+void HotRestart::accept_later() {
+    resume_accepting_.set(deadlines_, deadlines_.now() + kAcceptPauseUs, [this] { listener_->resume(); });
+}
+
 void HotRestart::check_path() {
     if (state_ != State::serving) return;
     if (!listener_) return listen();
--- a/src/state/hot_restart/hot_restart.h
+++ b/src/state/hot_restart/hot_restart.h
@@ -93,6 +93,7 @@
     // Makes sure that the next process finds this one, or one that this one is connected to.
     void check_path();
     void check_path_later();
+    void accept_later();
     void join_newer_process(evutil_socket_t fd);
     void send_exclusions(PeerConnection& peer);
     // Takes ownership of `fd`. Returns null if no connection could be created for it.
@@ -117,6 +118,8 @@
     Deadline connect_retry_;
     Deadline handshake_timeout_;
     Deadline path_check_;
+    Deadline resume_accepting_;
+    std::string listen_error_;  // of the last call of listen(); empty if it succeeded
     std::unique_ptr<net::Listener> listener_;
     FileId listener_file_;
 };
--- a/tests/state/hot_restart_test.cpp
+++ b/tests/state/hot_restart_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 #include <stdlib.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/un.h>
@@ -83,14 +84,18 @@
         for (auto& each : processes_)
             if (each.get() == &process) each.reset();
     }
-    // Leaves a socket at the path that nobody listens at, as a process does that is killed.
-    void leave_dead_socket() const {
+    sockaddr_un address_of_path() const {
         sockaddr_un address{};
         address.sun_family = AF_UNIX;
         path().copy(address.sun_path, sizeof address.sun_path - 1);
+        return address;
+    }
+    // Leaves a socket at the path that nobody listens at, as a process does that is killed.
+    void leave_dead_socket() const {
+        const auto address = address_of_path();
         unlink(path().c_str());
         const int dead = socket(AF_UNIX, SOCK_STREAM, 0);
-        EXPECT_EQ(bind(dead, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
+        EXPECT_EQ(bind(dead, reinterpret_cast<const sockaddr*>(&address), sizeof address), 0);
         close(dead);
     }
     template <class Condition>
@@ -232,4 +237,23 @@
     EXPECT_EQ(new_process.excluded.count("m"), 1U);
 }
 
+// One accept that failed for want of descriptors kept every later process from finding this one.
+TEST_F(HotRestartTest, AcceptsAgainAfterAFailure) {
+    auto& old_process = start();
+    old_process.excluded = {"m"};
+    const int connecting = socket(AF_UNIX, SOCK_STREAM, 0);
+    rlimit limit{};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    const rlimit none_left{0, limit.rlim_max};
+    const auto address = address_of_path();
+    ASSERT_EQ(connect(connecting, reinterpret_cast<const sockaddr*>(&address), sizeof address), 0);
+    setrlimit(RLIMIT_NOFILE, &none_left);
+    old_process.run_once();
+    setrlimit(RLIMIT_NOFILE, &limit);
+    close(connecting);
+    auto& new_process = start();
+    ASSERT_TRUE(run_until([&] { return new_process.is_serving; }));
+    EXPECT_EQ(new_process.excluded.count("m"), 1U);
+}
+
 }  // namespace
