Give the decision module a step for an overdue request even if none of its timers is due

Cause: if the process stands still while the actions of a step are carried out, the module's periodic timer is set again relative to the time after the pause. The check of an overdue request then finds no event to step the module with, twice in a row, and fails the request: its second chance counted on the timer being due together with the check. The module itself looked at deadlines in its timer only. Change: the check asks for a step, event or not, and each step gives up the waiting requests whose deadline has passed. Evidence: DispatchLoopTest.EndsAWaitingRequestAfterTheProcessStoodStillDuringAStep failed before (1 failure, 0 rejections) and passes.

--- a/src/core/dispatch_loop/dispatch_loop.cpp
+++ b/src/core/dispatch_loop/dispatch_loop.cpp
@@ -27,7 +27,7 @@
 
 void DispatchLoop::run_iteration() {
     deadlines_.run_due();
-    while (!queued_events_.empty() || !peer_events_.empty()) step();
+    while (is_step_due_ || !queued_events_.empty() || !peer_events_.empty()) step();
 }
 
 void DispatchLoop::take_step_events() {
@@ -39,6 +39,7 @@
 }
 
 void DispatchLoop::step() {
+    is_step_due_ = false;
     take_step_events();
     // This step reports the end of these requests to the decision module, whose actions may still refer to
     // them: they are erased only after the actions have been carried out.
--- a/src/core/dispatch_loop/inputs.cpp
+++ b/src/core/dispatch_loop/inputs.cpp
@@ -134,10 +134,11 @@
     queued_events_.emplace_back(decision::EndpointList{EndpointListKind::failed, nullptr, poll});
 }
 
-// In an iteration that runs late, the decision module's timer may be due together with the check: the module
-// gets its step before the request counts as overdue.
+// If the process stood still, the decision module may not have had a step since the deadline, and its timer
+// may not be due: it gets a step before the request counts as overdue.
 void DispatchLoop::schedule_overdue_check(traffic::RequestId id, OpenRequest& request) {
     request.overdue_check.set(deadlines_, request.deadline + kOverdueGraceUs, [this, id, &request] {
+        is_step_due_ = true;
         request.overdue_check.set(deadlines_, deadlines_.now(), [this, id] { on_overdue(id); });
     });
 }
--- a/src/decision/router.cpp
+++ b/src/decision/router.cpp
@@ -65,6 +65,7 @@
         state_.now = now;
         if (state_.started_at < 0) start(actions);
         for (const auto& event : events) std::visit([&](const auto& kind) { on(kind, actions); }, event);
+        give_up_due_before(state_.now, actions);
         pending_queue_.forward_queued(actions);
     }
 
@@ -231,7 +232,7 @@
             update_work_per_endpoint(group, state_, slow_start_);
             primary_tracker_.repeat_health_checks(group, is_primary_confirmed(group), actions);
         }
-        give_up_overdue(actions);
+        give_up_due_before(state_.now + 2 * kTickIntervalUs, actions);
         if (state_.now - last_cleanup_at_ <= kCleanupIntervalUs) return;
         last_cleanup_at_ = state_.now;
         auto oldest_positions = registry_.erase_removed();
@@ -243,9 +244,10 @@
         return primary && read_consistency_.trusts_primary(*primary);
     }
 
-    // Gives up requests without attempts in flight whose deadline passes within the next two ticks.
-    void give_up_overdue(Actions& actions) {
-        while (!deadlines_.empty() && deadlines_.top().first <= state_.now + 2 * kTickIntervalUs) {
+    // Gives up requests without attempts in flight whose deadline is not after `limit`: two ticks ahead of
+    // time, and at the latest in the first step after the deadline, however late the tick is.
+    void give_up_due_before(Time limit, Actions& actions) {
+        while (!deadlines_.empty() && deadlines_.top().first <= limit) {
             const auto id = deadlines_.top().second;
             deadlines_.pop();
             auto* request = state_.find_request(id);
--- a/tests/core/dispatch_loop_test.cpp
+++ b/tests/core/dispatch_loop_test.cpp
@@ -30,19 +30,25 @@
     void on_value_chunk(std::string_view) override {}
     void on_value_completed(const std::string&) override {}
     void on_value_aborted() override {}
-    void on_rejected(Micros) override {}
-    void on_failed() override {}
+    void on_rejected(Micros) override { ++rejections; }
+    void on_failed() override { ++failures; }
     traffic::ClientPresence client_presence() override { return traffic::ClientPresence::connected; }
 
     std::function<void()> on_response = [] {};
+    int rejections = 0;
+    int failures = 0;
 };
 
 struct FakeEndpoints final : traffic::AttemptSender {
-    void send(const traffic::Attempt& attempt) override { attempts.push_back(attempt); }
+    void send(const traffic::Attempt& attempt) override {
+        attempts.push_back(attempt);
+        on_send();
+    }
     void cancel_attempt(traffic::RequestId, int) override {}
     void start_health_check(traffic::EndpointId) override {}
 
     std::vector<traffic::Attempt> attempts;
+    std::function<void()> on_send = [] {};
 };
 
 decision::Settings session_settings() {
@@ -88,11 +94,12 @@
         end.reported_status = {role, position};
         loop_.on_health_check_ended(end);
     }
-    void submit(int request_class, Sink& sink) {
+    void submit(int request_class, Sink& sink, int replica_group = 0, Micros deadline = kDeadline) {
         traffic::Request request;
+        request.arrival.replica_group = replica_group;
         request.arrival.request_class = request_class;
         request.arrival.session = kSession;
-        request.arrival.deadline = clock_.time + kDeadline;
+        request.arrival.deadline = clock_.time + deadline;
         loop_.submit(request, sink);
     }
     // Reports a successful end of the latest attempt; all commits up to now are applied there.
@@ -164,4 +171,26 @@
     }
 }
 
+// Guards against the assertion that ended debug builds on a busy machine: the process stands still while the
+// actions of a step are carried out, and the module's timer is set again only after the deadline of a
+// request.
+TEST_F(DispatchLoopTest, EndsAWaitingRequestAfterTheProcessStoodStillDuringAStep) {
+    constexpr int kGroupWithoutPrimary = 5;
+    constexpr Micros kTickIntervalUs = 5'000;
+    loop_.run_iteration();
+    Sink waiting;
+    submit(kWrite, waiting, kGroupWithoutPrimary);
+    loop_.run_iteration();
+    EXPECT_EQ(waiting.rejections, 0);
+    clock_.time += kTickIntervalUs;
+    endpoints_.on_send = [this] { clock_.time += 2 * kDeadline; };
+    Sink forwarded;
+    submit(kWrite, forwarded, 0, 10 * kDeadline);
+    loop_.run_iteration();
+    ASSERT_EQ(endpoints_.attempts.size(), 1U);
+    for (int i = 0; i < 3; ++i) loop_.run_iteration();
+    EXPECT_EQ(waiting.rejections, 1);
+    EXPECT_EQ(waiting.failures, 0);
+}
+
 }  // namespace
