Run all deadlines that are due although a callback sets one for the past

Callers could see: a session whose time-out was over while input waited in the kernel set it again for the past, and in that iteration no later deadline of the program ran: time-outs of attempts, the module's timer, checks of requests. Cause: Deadlines::run_due stopped at the first entry that was added during the call, also if older ones followed it. Change: such entries are skipped instead. Evidence: Deadlines.ADeadlineSetForThePastDoesNotDelayOthersThatAreDue failed before and passes. Found by reading, while tracing the known failure of the soak; no run of a whole proxy has shown it.

--- a/src/base/deadlines/deadlines.cpp
+++ b/src/base/deadlines/deadlines.cpp
@@ -31,15 +31,18 @@
 void Deadlines::run_due() {
     const Time now = clock_.now();
     const auto first_new = next_sequence_;
-    while (!entries_.empty()) {
-        const auto earliest = entries_.begin();
-        const auto [at, sequence] = earliest->first;
+    auto next = entries_.begin();
+    while (next != entries_.end() && next->first.first <= now) {
         // A deadline that a callback of this call has set for a time already past is left for the next call.
-        if (at > now || sequence >= first_new) return;
-        auto entry = std::move(earliest->second);
+        if (next->first.second >= first_new) {
+            ++next;
+            continue;
+        }
+        auto entry = std::move(next->second);
         if (entry.owner) entry.owner->deadlines_ = nullptr;
-        entries_.erase(earliest);
+        entries_.erase(next);
         entry.callback();
+        next = entries_.begin();  // the callback may have changed any entry
     }
 }
 
--- a/tests/base/deadlines_test.cpp
+++ b/tests/base/deadlines_test.cpp
@@ -29,4 +29,22 @@
     ASSERT_TRUE(order == "abc" && deadlines.size() == 1);
 }
 
+// A session whose time-out was over kept setting it again, which delayed all later deadlines of the program.
+TEST(Deadlines, ADeadlineSetForThePastDoesNotDelayOthersThatAreDue) {
+    const Clock clock;
+    Deadlines deadlines(clock);
+    const Time past = clock.now() - 1000;
+    int repetitions = 0;
+    bool has_run = false;
+    std::function<void()> repeat = [&] {
+        ++repetitions;
+        deadlines.add(past - 1, repeat);
+    };
+    deadlines.add(past - 1, repeat);
+    deadlines.add(past, [&] { has_run = true; });
+    deadlines.run_due();
+    EXPECT_TRUE(has_run);
+    EXPECT_EQ(repetitions, 1);
+}
+
 }  // namespace
