Answer the clients in the accept queue at a stop although accept() fails again and again

Cause: Listener::accept_pending gave up at the first failure that does not concern one connection (ENFILE, ENOBUFS), so that each try accepted a few clients only; at the end of the stop the listener is closed whatever is left, and the kernel resets it. Change: accept_pending goes on after a failure as long as a connection is accepted between two. At the end of a stop a start-up packet with nothing behind it gets 57P03 instead of a greeting, and its client sends no query.

--- a/src/downstream/sessions/client_session.cpp
+++ b/src/downstream/sessions/client_session.cpp
@@ -140,7 +140,7 @@
     message_arrived_at_ = framer_.arrival_of(*message);
     // Consumed after it is handled, because the message refers to the connection's buffer.
     if (state_ == State::startup)
-        handle_startup(message->body);
+        handle_startup(*message);
     else
         handle_message(*message);
     if (state_ == State::closed) return false;
--- a/src/downstream/sessions/client_session.h
+++ b/src/downstream/sessions/client_session.h
@@ -118,7 +118,7 @@
     // Returns how long the newest input may have waited in the kernel.
     Micros input_age() const;
 
-    void handle_startup(std::string_view body);
+    void handle_startup(const pgwire::Message& message);
     void handle_message(const pgwire::Message& message);
     void handle_query(std::string text, std::shared_ptr<void> memory = {});
     void reject_statement(const StatementError& error);
--- a/src/downstream/sessions/client_session_messages.cpp
+++ b/src/downstream/sessions/client_session_messages.cpp
@@ -5,8 +5,8 @@
 #include "sessions/response_messages.h"
 
 namespace sloestack::downstream {
-void ClientSession::handle_startup(std::string_view body) {
-    const auto startup = pgwire::read_startup(body);
+void ClientSession::handle_startup(const pgwire::Message& message) {
+    const auto startup = pgwire::read_startup(message.body);
     if (startup.kind == pgwire::StartupKind::encryption) return responses_.respond("N");
     if (startup.kind == pgwire::StartupKind::cancel) {
         // As in PostgreSQL, a CancelRequest gets no response here; the canceled query does, in its own
@@ -15,6 +15,12 @@
         if (session) session->cancel();
         return finish(metrics::SessionEnd::cancel_request);
     }
+    // A client that was greeted now would send its first query while the connection is being closed.
+    const bool is_followed_by_query =
+        connection_->unread_bytes() > message.size || !connection_->has_nothing_to_read();
+    if (finishes_without_input_ && !is_followed_by_query)
+        return fail_session(rejection_->session_end, pgwire::code::kCannotConnectNow,
+                            "the proxy is stopping");
     state_ = State::open;
     connection_->set_max_unread_bytes(kMaxUnreadBytes);
     responses_.respond(greeting(cancel_key_, startup.minor > 0));
--- a/src/net/transport/connection.h
+++ b/src/net/transport/connection.h
@@ -63,8 +63,8 @@
     void write_now(std::string_view bytes);
     // Writes without copying: `owner` keeps `bytes` alive until the kernel has taken them.
     void write(std::string_view bytes, std::shared_ptr<const void> owner);
-    // Receives what has arrived in the kernel by now, without waiting for the event loop, and calls received()
-    // if that is anything. The end of the input is left to the event loop.
+    // Receives what has arrived in the kernel by now, without waiting for the event loop, and calls
+    // received() if that is anything. The end of the input is left to the event loop.
     void receive_now();
     // Appends the first `bytes` received bytes, or all if there are fewer, to `to` and consumes them.
     void move_to(std::string& to, std::size_t bytes);
--- a/src/net/transport/listener.cpp
+++ b/src/net/transport/listener.cpp
@@ -85,17 +85,24 @@
 }
 
 bool Listener::accept_pending() {
-    return accept_while([] { return true; }) == AcceptResult::queue_empty;
+    auto result = AcceptResult::failed;
+    bool has_accepted = true;
+    while (result == AcceptResult::failed && has_accepted) {
+        has_accepted = false;
+        result = accept_while([] { return true; }, &has_accepted);
+    }
+    return result == AcceptResult::queue_empty;
 }
 
 template <class Condition>
-Listener::AcceptResult Listener::accept_while(Condition condition) {
+Listener::AcceptResult Listener::accept_while(Condition condition, bool* has_accepted) {
     const auto listening = evconnlistener_get_fd(listener_.get());
     while (condition()) {
         const auto fd = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (fd >= 0)
+        if (fd >= 0) {
+            if (has_accepted) *has_accepted = true;
             accepted_(fd);
-        else if (errno == EAGAIN || errno == EWOULDBLOCK)
+        } else if (errno == EAGAIN || errno == EWOULDBLOCK)
             return AcceptResult::queue_empty;
         else if (!concerns_one_connection(errno))
             return AcceptResult::failed;
--- a/src/net/transport/listener.h
+++ b/src/net/transport/listener.h
@@ -29,7 +29,8 @@
     // pause(). Returns true if the queue was empty at last.
     bool resume();
     // Accepts all connections in the kernel's accept queue; the kernel resets those that are left there when
-    // the listening socket is closed. Returns false if some may be left because accept() failed.
+    // the listening socket is closed. Goes on after a failure as long as some connection is accepted between
+    // two. Returns false if some may be left.
     bool accept_pending();
     std::uint16_t port() const;
 
@@ -38,9 +39,9 @@
         void operator()(evconnlistener* l) const { evconnlistener_free(l); }
     };
     enum class AcceptResult { queue_empty, stopped, failed };
-    // Accepts connections while `condition` returns true.
+    // Accepts connections while `condition` returns true. Sets `has_accepted`, if given, for each of them.
     template <class Condition>
-    AcceptResult accept_while(Condition condition);
+    AcceptResult accept_while(Condition condition, bool* has_accepted = nullptr);
     void watch_errors();
 
     std::function<void(evutil_socket_t)> accepted_;
--- a/tests/process/system_call_failures_test.cpp
+++ b/tests/process/system_call_failures_test.cpp
@@ -64,6 +64,29 @@
     }
 }
 
+// The same with short deadlines and more clients than are accepted between a few failures: the listener was
+// closed at the end of the stop although the queue was not empty.
+TEST(SystemCallFailures, ManyClientsInTheAcceptQueueAreAnsweredAtAShortStopWhileAcceptFails) {
+    constexpr int kClients = 300;
+    constexpr Micros kShortDeadline = 300 * kMillisecond;
+    ProcessOptions options;
+    options.faults = {"SHIM_ACCEPT_ERRORS=2"};
+    for (auto& request_class : options.settings["classes"]) request_class["deadline-us"] = kShortDeadline;
+    ProxyProcess proxy(options);
+    proxy.open_idle_endpoint_connections();
+    proxy.signal(SIGSTOP);
+    std::vector<Peer> waiting;
+    for (int i = 0; i < kClients; ++i)
+        waiting.push_back(proxy.connect_and_request("w" + std::to_string(i), kDeadline));
+    proxy.signal(SIGTERM);
+    proxy.signal(SIGCONT);
+    EXPECT_TRUE(proxy.run_until([&] { return proxy.has_exited(); }, kDeadline));
+    int answered = 0;
+    for (auto& client : waiting)
+        answered += has_row(client) || has_error(client, "53300") || has_error(client, "57P01") ? 1 : 0;
+    EXPECT_EQ(answered, kClients);
+}
+
 // Clients wait in the accept queue, and accept() fails while the listener closes: they must get an answer all
 // the same, because a closed listener resets them.
 TEST(SystemCallFailures, ClientsInTheAcceptQueueAreAnsweredAtAStopWhileAcceptFails) {
