Pass a CancelRequest on to the process that has the session

Callers could see, while two processes run side by side: a CancelRequest, which is a connection of its own, reaches either process. At the wrong one it was ignored, so that attempts began after the client had cancelled; or it cancelled the query of another client, because both processes gave out the same keys. Cause: sessions' keys are known to one process only, and their secrets were drawn with the configured seed, which is the same for both. Change: the secrets are drawn with a random seed, and an unknown key goes to the other processes. Evidence: CancelKeys.DifferBetweenTheProcessesOfOneProxy and HotRestart.PassesACancelRequestOnToTheOtherProcess failed before and pass.

--- a/src/app/server/server.cpp
+++ b/src/app/server/server.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <random>
 #include <stdexcept>
 
 #include "discovery_poll_schedule.h"
@@ -43,6 +44,14 @@
     return config.scratch_directory + "/sloestack-" + name;
 }
 
+// Unlike the configured seed, differs between the processes of one proxy.
+std::uint64_t random_seed() {
+    constexpr int kBitsPerDraw = 32;
+    std::random_device device;
+    const std::uint64_t high = device();
+    return high << kBitsPerDraw | device();
+}
+
 }  // namespace
 
 const Clock& Server::system_clock() {
@@ -76,6 +85,9 @@
              if (hot_restart_) hot_restart_->send_session_write(write);
          }});
     client_listener_ = make_client_listener(config);
+    client_listener_->forward_cancel_requests_to([this](const downstream::CancelKey& key) {
+        if (hot_restart_) hot_restart_->send_cancel_request({key.process, key.secret});
+    });
     if (config.admin_address)
         admin_server_ = std::make_unique<admin::AdminServer>(loop_, deadlines_, *config.admin_address,
                                                              static_cast<admin::AdminHandler&>(*this));
@@ -103,7 +115,7 @@
     return std::make_unique<downstream::ClientListener>(
         loop_, deadlines_, quotas, client_bytes_, large_statement_budget_, metrics_, listen_endpoint,
         dispatch_loop_, config.settings.class_names, overlap_allowed(router), uses_sessions(router),
-        max_deadline(router), config.seed);
+        max_deadline(router), random_seed());
 }
 
 // ---- HotRestartHandler ----
--- a/src/app/server/server.h
+++ b/src/app/server/server.h
@@ -78,6 +78,9 @@
     bool is_within_share() const override {
         return !client_quota_.is_exceeded() && !endpoint_quota_.is_exceeded();
     }
+    void on_cancel_request(const hot_restart::CancelRequest& request) override {
+        client_listener_->cancel({request.process, request.secret});
+    }
     void on_handover_complete() override;
 
     net::Loop loop_;
--- a/src/downstream/sessions/cancel_keys.cpp
+++ b/src/downstream/sessions/cancel_keys.cpp
@@ -1,5 +1,7 @@
 #include "sessions/cancel_keys.h"
 
+#include "sessions/client_session.h"
+
 namespace sloestack::downstream {
 
 CancelKey CancelKeys::add(ClientSession& session) {
@@ -9,10 +11,11 @@
     return key;
 }
 
-ClientSession* CancelKeys::find(const CancelKey& key) const {
+bool CancelKeys::cancel(const CancelKey& key) const {
     const auto found = sessions_.find(key.process);
-    if (found == sessions_.end() || found->second.secret != key.secret) return nullptr;
-    return found->second.session;
+    if (found == sessions_.end() || found->second.secret != key.secret) return false;
+    found->second.session->cancel();
+    return true;
 }
 
 }  // namespace sloestack::downstream
--- a/src/downstream/sessions/cancel_keys.h
+++ b/src/downstream/sessions/cancel_keys.h
@@ -1,6 +1,6 @@
 // The keys with which clients cancel a query from another connection (PostgreSQL's CancelRequest). A key is
-// sent in the BackendKeyData message of the greeting. Its secret comes from a generator seeded by the
-// process, so that other clients cannot guess it.
+// sent in the BackendKeyData message of the greeting. Its secret comes from a generator with a seed of its
+// own in each process: other clients cannot guess it, and it is not a key of another process by accident.
 #pragma once
 
 #include <cstdint>
@@ -23,8 +23,9 @@
     // Issues a key for `session`, which must remove it before it is destroyed.
     CancelKey add(ClientSession& session);
     void remove(const CancelKey& key) { sessions_.erase(key.process); }
-    // Returns the session that the key was issued for, or null if there is none or the secret is wrong.
-    ClientSession* find(const CancelKey& key) const;
+    // Cancels the query of the session that the key was issued for. Returns false if there is none or the
+    // secret is wrong.
+    bool cancel(const CancelKey& key) const;
 
 private:
     struct KeyHolder {
--- a/src/downstream/sessions/client_listener.cpp
+++ b/src/downstream/sessions/client_listener.cpp
@@ -41,7 +41,7 @@
                                metrics::RequestMetrics& metrics, const ListenEndpoint& listen_endpoint,
                                traffic::RequestDispatcher& dispatcher, std::vector<std::string> class_names,
                                std::vector<bool> class_may_overlap, bool uses_sessions, Micros longest_wait,
-                               std::uint64_t seed)
+                               std::uint64_t cancel_key_seed)
     : loop_(loop),
       deadlines_(deadlines),
       client_quota_(quotas.clients),
@@ -59,7 +59,7 @@
                std::move(class_names),
                std::move(class_may_overlap),
                uses_sessions,
-               CancelKeys(seed)},
+               CancelKeys(cancel_key_seed)},
       longest_wait_(std::min(longest_wait, kMaxLongestWaitUs)) {}
 
 ClientListener::~ClientListener() = default;
--- a/src/downstream/sessions/client_listener.h
+++ b/src/downstream/sessions/client_listener.h
@@ -28,13 +28,13 @@
         net::DescriptorQuota& lingering;  // in a lingering close
     };
     // `class_may_overlap` has one element for each of `class_names`. `longest_wait` is the longest time in
-    // microseconds that a client waits for a response; it determines how long a stop takes. `seed` seeds the
-    // secrets of cancel keys. All references must outlive the listener.
+    // microseconds that a client waits for a response; it determines how long a stop takes.
+    // `cancel_key_seed` seeds the secrets of cancel keys. All references must outlive the listener.
     ClientListener(net::Loop& loop, Deadlines& deadlines, const Quotas& quotas, net::ByteAccount& account,
                    net::MemoryBudget& large_statement_budget, metrics::RequestMetrics& metrics,
                    const ListenEndpoint& listen_endpoint, traffic::RequestDispatcher& dispatcher,
                    std::vector<std::string> class_names, std::vector<bool> class_may_overlap,
-                   bool uses_sessions, Micros longest_wait, std::uint64_t seed);
+                   bool uses_sessions, Micros longest_wait, std::uint64_t cancel_key_seed);
     ~ClientListener();
 
     // Starts to accept clients. Throws std::runtime_error if it cannot listen.
@@ -50,6 +50,11 @@
     void shrink_to_quota();
     std::uint16_t port() const { return listener_->port(); }
     std::size_t session_count() const { return sessions_.size(); }
+    // Handles a CancelRequest that another process has received.
+    void cancel(const CancelKey& key) { context_.cancel_keys.cancel(key); }
+    void forward_cancel_requests_to(std::function<void(const CancelKey&)> receiver) {
+        context_.forward_cancel_request = std::move(receiver);
+    }
     metrics::SessionMetrics& session_metrics() { return context_.session_metrics; }
 
 private:
--- a/src/downstream/sessions/client_session_messages.cpp
+++ b/src/downstream/sessions/client_session_messages.cpp
@@ -11,8 +11,8 @@
     if (startup.kind == pgwire::StartupKind::cancel) {
         // As in PostgreSQL, a CancelRequest gets no response here; the canceled query does, in its own
         // session.
-        auto* session = context_.cancel_keys.find({startup.process, startup.secret});
-        if (session) session->cancel();
+        const CancelKey key{startup.process, startup.secret};
+        if (!context_.cancel_keys.cancel(key)) context_.forward_cancel_request(key);
         return finish(metrics::SessionEnd::cancel_request);
     }
     // A client that was greeted now would send its first query while the connection is being closed.
--- a/src/downstream/sessions/session_context.h
+++ b/src/downstream/sessions/session_context.h
@@ -1,6 +1,7 @@
 // The state that all client sessions of a listener share. Owned by the listener, which outlives its sessions.
 #pragma once
 
+#include <functional>
 #include <limits>
 #include <string>
 #include <unordered_set>
@@ -36,6 +37,8 @@
     std::vector<bool> class_may_overlap;
     bool uses_sessions = false;  // some class needs read-your-writes within a session
     CancelKeys cancel_keys{0};
+    // Called for a CancelRequest whose key belongs to no session here, but perhaps to one of another process.
+    std::function<void(const CancelKey&)> forward_cancel_request = [](const CancelKey&) {};
     bool close_after_response = false;  // set during a stop: sessions close after their next response
     // The time by which any lingering close ends.
     Time linger_deadline = std::numeric_limits<Time>::max();
--- a/src/state/hot_restart/hot_restart.cpp
+++ b/src/state/hot_restart/hot_restart.cpp
@@ -157,7 +157,7 @@
     for (const auto& peer : peers_) {
         if (!peer->is_joined()) continue;
         are_complete = are_complete && peer->reports_session_writes();
-        if (!peer->knows_session_writes() || peer->sent_status() == has_one_peer) continue;
+        if (!peer->knows_session_messages() || peer->sent_status() == has_one_peer) continue;
         peer->sent_status() = has_one_peer;
         peer->send(SessionWriteStatus{has_one_peer});
     }
@@ -175,7 +175,7 @@
     if (request.is_older) peer.set_role(Role::predecessor);
     log::line(log_subject(peer.role()), "connected");
     peer.join(deadlines_.now());
-    if (request.knows_session_writes) peer.set_knows_session_writes();
+    if (request.knows_session_messages) peer.set_knows_session_messages();
     report_process_count();
     update_session_write_reports();
     send_exclusions(peer);
@@ -201,7 +201,7 @@
 }
 
 void HotRestart::handle(PeerConnection& peer, const SessionWriteStatus& status) {
-    peer.set_knows_session_writes();
+    peer.set_knows_session_messages();
     peer.set_reports_session_writes(status.is_complete);
     update_session_write_reports();
 }
@@ -215,6 +215,10 @@
     handler_.on_session_write(write);
 }
 
+void HotRestart::handle(PeerConnection&, const CancelRequest& request) {
+    handler_.on_cancel_request(request);
+}
+
 // Completes the handshake once this process is within its share of the limits, so that the successor can use
 // its own share in full.
 void HotRestart::complete_handshake_within_share(PeerConnection& successor) {
@@ -257,9 +261,9 @@
     acknowledgements_.expect(sequence, std::move(recipients), std::move(done));
 }
 
-void HotRestart::send_session_write(const decision::SessionWrite& write) {
+void HotRestart::send_about_sessions(const Message& message) {
     for (const auto& peer : peers_)
-        if (peer->is_joined() && peer->knows_session_writes()) peer->send(write);
+        if (peer->is_joined() && peer->knows_session_messages()) peer->send(message);
 }
 
 void HotRestart::receive_now() {
@@ -270,7 +274,7 @@
 
 void HotRestart::on_event_loop_delayed() {
     for (const auto& peer : peers_) {
-        if (!peer->is_joined() || !peer->knows_session_writes()) continue;
+        if (!peer->is_joined() || !peer->knows_session_messages()) continue;
         peer->set_reports_session_writes(false);
         peer->send(SessionWriteStatusRequest{});
     }
--- a/src/state/hot_restart/hot_restart.h
+++ b/src/state/hot_restart/hot_restart.h
@@ -40,6 +40,8 @@
     virtual void on_session_write_reports(bool are_complete) = 0;
     // Returns whether this process uses no more than its share of the limits.
     virtual bool is_within_share() const = 0;
+    // Called for a CancelRequest that a client has sent to another process.
+    virtual void on_cancel_request(const CancelRequest& request) = 0;
     // Called once, when the predecessor's state has been received or there is no predecessor to wait for. The
     // process may serve from then on.
     virtual void on_handover_complete() = 0;
@@ -64,7 +66,9 @@
     // disconnected, at the latest when the acknowledgement time-out expires.
     void send_exclusion_update(const std::string& endpoint, bool excluded, std::function<void()> done);
     // Reports a session write to all other processes. Must be called before the client is answered.
-    void send_session_write(const decision::SessionWrite& write);
+    void send_session_write(const decision::SessionWrite& write) { send_about_sessions(write); }
+    // Passes a CancelRequest on to all other processes.
+    void send_cancel_request(const CancelRequest& request) { send_about_sessions(request); }
     // Handles the messages that have arrived by now. Must be called after clients' input has been read and
     // before it is acted on, so that a session's read finds the writes acknowledged before it was sent.
     void receive_now();
@@ -85,6 +89,7 @@
     void handle(PeerConnection& peer, const SessionWriteStatus& status);
     void handle(PeerConnection& peer, const SessionWriteStatusRequest& request);
     void handle(PeerConnection& peer, const decision::SessionWrite& write);
+    void handle(PeerConnection& peer, const CancelRequest& request);
 
     void connect_to_predecessor(Time started_at);
     void request_handover(std::unique_ptr<PeerConnection> predecessor);
@@ -101,6 +106,8 @@
     void on_accepted(evutil_socket_t fd);
     void complete_handshake_within_share(PeerConnection& successor);
     Peers broadcast(const ExclusionUpdate& update, const PeerConnection* except);
+    // Sends the message to all peers that understand messages about sessions.
+    void send_about_sessions(const Message& message);
     void report_process_count();
     std::ptrdiff_t joined_count() const;
     // Tells the peers, and the handler, if it has changed whether session writes are reported completely.
--- a/src/state/hot_restart/hot_restart_codec.cpp
+++ b/src/state/hot_restart/hot_restart_codec.cpp
@@ -19,7 +19,10 @@
 constexpr const char* kSessionWriteStatus = "session_writes";
 constexpr const char* kSessionWriteStatusRequest = "session_writes?";
 constexpr const char* kSessionWrite = "wrote";
-constexpr const char* kKnowsSessionWritesKey = "sessions";
+constexpr const char* kCancelRequest = "cancel";
+constexpr const char* kProcessKey = "process";
+constexpr const char* kSecretKey = "secret";
+constexpr const char* kKnowsSessionMessagesKey = "sessions";
 constexpr const char* kOlderKey = "older";
 constexpr const char* kCompleteKey = "complete";
 constexpr const char* kReplicaGroupKey = "cell";
@@ -29,7 +32,7 @@
 struct ToJson {
     json operator()(const HandshakeRequest& request) const {
         json out = {{kTypeKey, kHandshakeRequest}};
-        if (request.knows_session_writes) out[kKnowsSessionWritesKey] = true;
+        if (request.knows_session_messages) out[kKnowsSessionMessagesKey] = true;
         if (request.is_older) out[kOlderKey] = true;
         return out;
     }
@@ -54,6 +57,9 @@
                 {kSessionKey, write.session},
                 {kPositionKey, write.position}};
     }
+    json operator()(const CancelRequest& request) const {
+        return {{kTypeKey, kCancelRequest}, {kProcessKey, request.process}, {kSecretKey, request.secret}};
+    }
 };
 
 std::optional<std::string> text_at(const json& object, const char* key) {
@@ -108,6 +114,13 @@
     return decision::SessionWrite{*replica_group, *session, *position};
 }
 
+std::optional<Message> decode_cancel_request(const json& object) {
+    const auto process = integer_at<std::uint32_t>(object, kProcessKey);
+    const auto secret = integer_at<std::uint32_t>(object, kSecretKey);
+    if (!process || !secret) return std::nullopt;
+    return CancelRequest{*process, *secret};
+}
+
 }  // namespace
 
 std::string encode(const Message& message) { return std::visit(ToJson{}, message).dump() + "\n"; }
@@ -118,7 +131,7 @@
     const auto type = text_at(object, kTypeKey);
     if (!type) return std::nullopt;
     if (*type == kHandshakeRequest)
-        return HandshakeRequest{flag_at(object, kKnowsSessionWritesKey).value_or(false),
+        return HandshakeRequest{flag_at(object, kKnowsSessionMessagesKey).value_or(false),
                                 flag_at(object, kOlderKey).value_or(false)};
     if (*type == kHandshakeComplete) return HandshakeComplete{};
     if (*type == kExclude) return decode_exclusion_update(object, true);
@@ -127,6 +140,7 @@
     if (*type == kSessionWriteStatus) return decode_session_write_status(object);
     if (*type == kSessionWriteStatusRequest) return SessionWriteStatusRequest{};
     if (*type == kSessionWrite) return decode_session_write(object);
+    if (*type == kCancelRequest) return decode_cancel_request(object);
     return std::nullopt;
 }
 
--- a/src/state/hot_restart/hot_restart_codec.h
+++ b/src/state/hot_restart/hot_restart_codec.h
@@ -1,20 +1,22 @@
 // The protocol between the old and the new process of a hot restart: one JSON object per line on a Unix
 // stream socket. The keys and types must not change, because the two processes may be of different versions.
 //
-//   successor -> predecessor   {"do":"hello","sessions":true}; with "older":true the roles are reversed: a
-//   process
-//                              that has lost its successor joins the newest one
+//   successor -> predecessor   {"do":"hello","sessions":true}
 //   predecessor -> successor   {"do":"exclude","member":ID,"number":0} for each exclusion in force
 //   predecessor -> successor   {"do":"welcome"}, once the predecessor is within its share of the limits
 //   either -> the other        {"do":"exclude"|"include","member":ID,"number":N}
 //   the receiver of N          {"do":"held","number":N}
 //
-// Between processes that know them, which the successor tells by "sessions" and the predecessor by its first
-// session_writes:
+// With "older":true in the hello the roles are reversed: a process that has lost its successor joins the
+// newest one, and sends its exclusions too.
 //
-//   either -> the other        {"do":"session_writes","complete":true|false}, at first and whenever it
-//   changes either -> the other        {"do":"wrote","cell":G,"session":S,"position":P}, before the client is
-//   answered either -> the other        {"do":"session_writes?"}, which session_writes answers
+// Messages about sessions are sent only to a process that knows them. The successor tells that by "sessions",
+// the predecessor by its first session_writes.
+//
+//   either -> the other        {"do":"session_writes","complete":true|false}, at first and at each change
+//   either -> the other        {"do":"wrote","cell":G,"session":S,"position":P}, before the response
+//   either -> the other        {"do":"session_writes?"}, the response is session_writes
+//   either -> the other        {"do":"cancel","process":P,"secret":S}, if the sender has no such session
 #pragma once
 
 #include <cstddef>
@@ -30,8 +32,8 @@
 
 // The successor requests the predecessor's state.
 struct HandshakeRequest {
-    bool knows_session_writes = false;  // the sender understands the messages about session writes
-    bool is_older = false;              // the sender serves already, and has lost its successor
+    bool knows_session_messages = false;  // the sender understands the messages about sessions
+    bool is_older = false;                // the sender serves already, and has lost its successor
 };
 
 // The predecessor has sent its state; the successor may serve.
@@ -58,8 +60,15 @@
 // Requests a SessionWriteStatus, which follows all writes that have been reported before.
 struct SessionWriteStatusRequest {};
 
-using Message = std::variant<HandshakeRequest, HandshakeComplete, ExclusionUpdate, Acknowledgement,
-                             SessionWriteStatus, SessionWriteStatusRequest, decision::SessionWrite>;
+// A client has sent a CancelRequest with this key to the sender, which has no such session.
+struct CancelRequest {
+    std::uint32_t process = 0;
+    std::uint32_t secret = 0;
+};
+
+using Message =
+    std::variant<HandshakeRequest, HandshakeComplete, ExclusionUpdate, Acknowledgement, SessionWriteStatus,
+                 SessionWriteStatusRequest, decision::SessionWrite, CancelRequest>;
 
 // The longest line that is read; a peer that sends a longer one is disconnected.
 constexpr std::size_t kMaxLineBytes = std::size_t{64} * 1024;
--- a/src/state/hot_restart/peer_connection.h
+++ b/src/state/hot_restart/peer_connection.h
@@ -44,9 +44,9 @@
     // The timer for the next check whether a successor's handshake can be completed.
     Deadline& handshake_retry() { return handshake_retry_; }
 
-    // Returns whether the peer understands the messages about session writes.
-    bool knows_session_writes() const { return knows_session_writes_; }
-    void set_knows_session_writes() { knows_session_writes_ = true; }
+    // Returns whether the peer understands the messages about sessions.
+    bool knows_session_messages() const { return knows_session_messages_; }
+    void set_knows_session_messages() { knows_session_messages_ = true; }
     // Returns whether the peer reports all session writes: its last SessionWriteStatus.
     bool reports_session_writes() const { return reports_session_writes_; }
     void set_reports_session_writes(bool reports) { reports_session_writes_ = reports; }
@@ -72,7 +72,7 @@
     State state_;
     Time joined_at_ = 0;
     Deadline handshake_retry_;
-    bool knows_session_writes_ = false;
+    bool knows_session_messages_ = false;
     bool reports_session_writes_ = false;
     std::optional<bool> sent_status_;
     std::unique_ptr<net::Connection> connection_;
--- a/tests/integration/connection_close_test.cpp
+++ b/tests/integration/connection_close_test.cpp
@@ -38,4 +38,14 @@
     EXPECT_FALSE(proxy.client.ended);
 }
 
+// Two processes of a proxy have the same configuration during a hot restart, and gave their clients the same
+// keys: a CancelRequest that reached the other process cancelled the query of another client.
+TEST(CancelKeys, DifferBetweenTheProcessesOfOneProxy) {
+    ProxyHarness first;
+    ProxyHarness second;
+    first.connect();
+    second.connect();
+    EXPECT_NE(first.cancel_key(), second.cancel_key());
+}
+
 }  // namespace
--- a/tests/integration/hot_restart_scenarios.cpp
+++ b/tests/integration/hot_restart_scenarios.cpp
@@ -105,6 +105,16 @@
         u expect line:"complete":true)");
 }
 
+// A CancelRequest with the key of a session of the other process was ignored.
+TEST(HotRestart, PassesACancelRequestOnToTheOtherProcess) {
+    play(hot_restart_setup(), R"(
+        u send line:{"do":"hello","sessions":true}
+        u expect line:"complete":true line:welcome
+        a send hex:0000001004d2162e0000006300000001
+        a expect end
+        u expect line:{"do":"cancel","process":99,"secret":1})");
+}
+
 // A process of an earlier version would close the connection at a message that it does not know.
 TEST(HotRestart, SendsNoSessionWritesToAProcessThatDoesNotKnowThem) {
     play(setup_with_sessions(), R"(
--- a/tests/integration/proxy_harness.h
+++ b/tests/integration/proxy_harness.h
@@ -31,6 +31,8 @@
     void complete_first_request(const char* request_class);
     /// Sends a CancelRequest for the client's session, on a separate connection.
     void cancel();
+    /// Returns the key of the client's session.
+    std::pair<std::uint32_t, std::uint32_t> cancel_key() const { return cancel_key_; }
 
     // ---- discovery ----
     /// Responds to polls until a long poll is pending.
--- a/tests/state/hot_restart_codec_test.cpp
+++ b/tests/state/hot_restart_codec_test.cpp
@@ -17,6 +17,8 @@
     EXPECT_EQ(
         encode(sloestack::decision::SessionWrite{2, 18'446'744'073'709'551'615u, 1'700'000'000'000'000}),
         "{\"cell\":2,\"do\":\"wrote\",\"position\":1700000000000000,\"session\":18446744073709551615}\n");
+    EXPECT_EQ(encode(CancelRequest{7, 4'294'967'295u}),
+              "{\"do\":\"cancel\",\"process\":7,\"secret\":4294967295}\n");
     EXPECT_EQ(encode(HandshakeComplete{}), "{\"do\":\"welcome\"}\n");
     EXPECT_EQ(encode(ExclusionUpdate{true, "s-5be2a07c", 0}),
               "{\"do\":\"exclude\",\"member\":\"s-5be2a07c\",\"number\":0}\n");
@@ -43,9 +45,9 @@
     EXPECT_FALSE(included.excluded);
     EXPECT_EQ(included.endpoint, "");
     EXPECT_EQ(included.sequence, 0u);
-    EXPECT_FALSE(std::get<HandshakeRequest>(decode(R"({"do":"hello"})").value()).knows_session_writes);
-    EXPECT_TRUE(
-        std::get<HandshakeRequest>(decode(R"({"do":"hello","sessions":true})").value()).knows_session_writes);
+    EXPECT_FALSE(std::get<HandshakeRequest>(decode(R"({"do":"hello"})").value()).knows_session_messages);
+    EXPECT_TRUE(std::get<HandshakeRequest>(decode(R"({"do":"hello","sessions":true})").value())
+                    .knows_session_messages);
     EXPECT_TRUE(std::get<SessionWriteStatus>(decode(R"({"do":"session_writes","complete":true})").value())
                     .is_complete);
     EXPECT_TRUE(
@@ -56,6 +58,9 @@
     EXPECT_EQ(write.replica_group, 3);
     EXPECT_EQ(write.session, 18'446'744'073'709'551'615u);
     EXPECT_EQ(write.position, 5);
+    const auto cancel = std::get<CancelRequest>(decode(R"({"do":"cancel","process":7,"secret":8})").value());
+    EXPECT_EQ(cancel.process, 7u);
+    EXPECT_EQ(cancel.secret, 8u);
     const auto acknowledgement =
         std::get<Acknowledgement>(decode(R"({"do":"held","number":18446744073709551615})").value());
     EXPECT_EQ(acknowledgement.sequence, 18'446'744'073'709'551'615u);
@@ -89,6 +94,8 @@
                              R"({"do":"wrote","cell":3,"position":5})",
                              R"({"do":"wrote","cell":3,"session":"1","position":5})",
                              R"({"do":"wrote","cell":3,"session":1,"position":1.5})",
+                             R"({"do":"cancel","process":7})",
+                             R"({"do":"cancel","secret":7})",
                              R"({"do":"held"})",
                              R"({"do":"held","number":-1})",
                              R"({"do":"held","number":null})",
--- a/tests/state/hot_restart_test.cpp
+++ b/tests/state/hot_restart_test.cpp
@@ -41,6 +41,10 @@
     void on_session_write(const decision::SessionWrite& write) override { writes.push_back(write); }
     void on_session_write_reports(bool are_complete) override { reports_are_complete = are_complete; }
 
+    void on_cancel_request(const hot_restart::CancelRequest& request) override {
+        cancelled.push_back(request.secret);
+    }
+
     void run_once() {
         loop_.run_once(0);
         deadlines_.run_due();
@@ -50,6 +54,7 @@
 
     std::set<std::string> excluded;
     std::vector<decision::SessionWrite> writes;
+    std::vector<std::uint32_t> cancelled;
     int process_count = 1;
     bool is_serving = false;
     bool reports_are_complete = true;
@@ -256,4 +261,14 @@
     EXPECT_EQ(new_process.excluded.count("m"), 1U);
 }
 
+// A CancelRequest may be accepted by the process that does not have the session.
+TEST_F(HotRestartTest, ACancelRequestReachesTheOtherProcess) {
+    auto& old_process = start();
+    auto& new_process = start();
+    ASSERT_TRUE(run_until([&] { return new_process.is_serving && new_process.reports_are_complete; }));
+    new_process.hot_restart().send_cancel_request({1, 2});
+    ASSERT_TRUE(run_until([&] { return !old_process.cancelled.empty(); }));
+    EXPECT_EQ(old_process.cancelled[0], 2U);
+}
+
 }  // namespace
