Review: an upgrade under load puts an old list of members back

Cause: the list of the configuration is applied when the handshake is complete, over a newer one that discovery has delivered meanwhile. Change: case 10; the stand-ins can start a second process with a passed socket.

--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.h
@@ -496,18 +496,26 @@
     int sockets = 1024;
     std::string settings;  // JSON
     std::string known;     // a list, or empty
+    std::string seed = "8c1f30d27a5be964";
+    int passed_socket = -1;          // the clients' listening socket, if the platform holds it
+    std::uint16_t control_port = 0;  // 0: none
 };
 
 // The proxy as a process. Its folder holds the configuration, the log and its TMPDIR.
 class Proxy {
 public:
     Proxy(std::string folder, const ProxyOptions& options, std::uint16_t discovery_port)
-        : folder_(std::move(folder)), port_(free_port()) {
-        std::ofstream config(folder_ + "/config.json");
+        : folder_(std::move(folder)),
+          passed_socket_(options.passed_socket),
+          control_port_(options.control_port),
+          port_(passed_socket_ >= 0 ? port_of(passed_socket_) : free_port()) {
+        static int count = 0;
+        config_path_ = folder_ + "/config-" + std::to_string(++count) + ".json";
+        std::ofstream config(config_path_);
         config << "{\"name\":\"" << options.name << "\",\"listen\":\"127.0.0.1:" << port_
-               << "\",\"discovery\":\"127.0.0.1:" << discovery_port
-               << "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":"
-               << options.memory_mb << ",\"sockets\":" << options.sockets << "},";
+               << "\",\"discovery\":\"127.0.0.1:" << discovery_port << "\",\"seed\":\"" << options.seed
+               << "\",\"limits\":{\"cores\":1.0,\"memory_mb\":" << options.memory_mb
+               << ",\"sockets\":" << options.sockets << "},";
         if (!options.known.empty()) config << "\"known\":" << options.known << ",";
         config << "\"settings\":" << options.settings << "}\n";
         config.close();
@@ -519,7 +527,7 @@
 
     void start() {
         const auto command = run_command();
-        const auto config = folder_ + "/config.json";
+        const auto& config = config_path_;
         const auto log = folder_ + "/proxy.log";
         pid_ = fork();
         if (pid_ < 0) cannot_run("fork");
@@ -531,6 +539,15 @@
             for (const char* name :
                  {"EDGE_NAME", "EDGE_LISTEN", "EDGE_DISCOVERY", "EDGE_CONTROL", "EDGE_PASSED_SOCKET"})
                 unsetenv(name);
+            if (passed_socket_ >= 0) {
+                if (passed_socket_ == 3)
+                    fcntl(3, F_SETFD, 0);
+                else
+                    dup2(passed_socket_, 3);
+                setenv("EDGE_PASSED_SOCKET", "3", 1);
+            }
+            if (control_port_)
+                setenv("EDGE_CONTROL", ("127.0.0.1:" + std::to_string(control_port_)).c_str(), 1);
             setenv("EDGE_CONFIG", config.c_str(), 1);
             setenv("TMPDIR", folder_.c_str(), 1);
             execl("/bin/sh", "sh", "-c", command.c_str(), static_cast<char*>(nullptr));
@@ -558,6 +575,14 @@
     }
     pid_t pid() const { return pid_; }
     std::uint16_t port() const { return port_; }
+    // Makes a call at the operators' door. Returns the status, or 0 if there was no answer.
+    int control(const std::string& call) const {
+        const auto socket = Socket::connect_to(control_port_);
+        if (!socket || !socket->write(call + " HTTP/1.1\r\nHost: proxy\r\n\r\n")) return 0;
+        std::string head;
+        if (!socket->read_exactly(head, 12, now_us() + kSecond)) return 0;
+        return std::atoi(head.c_str() + 9);
+    }
     // Returns a value of /proc/PID/status in KiB.
     std::int64_t memory_kb(const std::string& name) const {
         std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
@@ -572,6 +597,9 @@
     void wait_until_ready();
 
     std::string folder_;
+    std::string config_path_;
+    int passed_socket_;
+    std::uint16_t control_port_;
     std::uint16_t port_;
     pid_t pid_ = -1;
 };
@@ -663,6 +691,11 @@
     const Micros until = now_us() + 30 * kSecond;
     while (now_us() < until) {
         if (has_ended()) cannot_run("the proxy has ended; see its log");
+        if (control_port_) {
+            if (control("GET /api/ready") == 200) return;
+            sleep_us(10 * kMillisecond);
+            continue;
+        }
         Client client(port_);
         if (client.is_connected() && client.start() &&
             client.ask("", now_us() + kSecond).kind == AnswerKind::empty_query)
@@ -724,6 +757,7 @@
     int balancers = 1;
     int most_tries = 10;
     int idle_ms = 15'000;
+    bool pushed = false;  // lists are pushed to an agent on the proxy's machine
 };
 inline std::string json_of(const SiteSettings& site) {
     const auto flag = [](bool value) { return value ? "true" : "false"; };
@@ -740,8 +774,8 @@
     }
     std::ostringstream out;
     out << "{\"azs\":[\"a\",\"b\"],\"zone\":0,\"balancers\":" << site.balancers << ",\"classes\":["
-        << classes.str()
-        << "],\"discovery\":\"on_request\",\"feedback\":{\"how\":\"answers\",\"fields\":[\"x0\",\"x1\","
+        << classes.str() << "],\"discovery\":\"" << (site.pushed ? "pushed" : "on_request")
+        << "\",\"feedback\":{\"how\":\"answers\",\"fields\":[\"x0\",\"x1\","
            "\"inflight\"]},"
         << "\"limits\":{\"cancel\":" << flag(site.cancel) << ",\"conn-idle-us\":" << site.idle_ms * 1000
         << ",\"connect-timeout-us\":250000,\"max-retry-after-us\":2000000,\"most-tries\":" << site.most_tries
