--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,49 +1,32 @@
-// Replicas apply the log slowly, and new connections to one endpoint of three come up late. The proxy chooses
-// a replica for a bounded read by what it knows of the replica's position; the read then waits for a
-// connection, and is sent when that position no longer meets the class's bound.
+// The primary of one group hangs. A few large writes to it hold the whole memory budget for large statements
+// until their deadlines. Writes to another, healthy group stay unread meanwhile, and get their answers long
+// after their time.
 #include "standins.h"
 
 using namespace standins;
 
 namespace {
 
-constexpr int kBoundMs = 200;                       // of the class roster-view
-constexpr Micros kSocketSlack = 50 * kMillisecond;  // every time limit is 50 ms longer on sockets
-constexpr int kDeadlineMs = 600;
-constexpr Micros kWork = 60 * kMillisecond;           // 42 to 73 ms of work
-constexpr Micros kLogDelay = 10 * kMillisecond;       // replicas get the log after 3.6 to 13 ms
-constexpr double kSlowApplySpeed = 0.1;               // 10 times more slowly (4.8 to 15 times)
-constexpr Micros kSlowFor = 10 * kSecond;             // for 10 to 23 s
-constexpr Micros kQuiet = 10 * kSecond;               // between two such times: replicas catch up
-constexpr Micros kConnectDelay = 225 * kMillisecond;  // connections come up late, up to 1.5 s
-constexpr Micros kBurstAfter = 130 * kMillisecond;    // from the start of a slow time to a burst of reads
-constexpr int kBurst = 24;
-constexpr int kEpisodes = 5;
+// Of the deployment cairo-scripts.
+constexpr int kDeadlineMs = 3'000;  // given up after 3 s
+constexpr int kShortTryMs = 1'200;  // a try is given up after 40 to 100 % of that
+constexpr int kWindowMs = 2'000;
+constexpr Micros kHangsFor = 10 * kSecond;          // answers none for 5 to 24 s
+constexpr Micros kTakeover = 6'900 * kMillisecond;  // given up after 1 to 3 s, and 1.1 to 3.9 s later
+constexpr int kMembersOfGroup = 3;                  // 3 to 4; one of six (up to 18 %) hangs
+// Up to half a second after its time an answer only earns nothing; time limits are 50 ms longer.
+constexpr Micros kLateFrom = 550 * kMillisecond;
+constexpr std::size_t kLargeValue = 4 * 1024 * 1024;  // values of up to 4 MiB occur
+constexpr std::size_t kUsualValue = 64 * 1024;        // values no larger than 64 KiB
+constexpr int kMemoryMb = 192;                        // 32 to 192 MB
+constexpr int kLargeWrites = 7;
+constexpr int kWrites = 8;
+constexpr int kRounds = 4;
 
-// The position of the replicas: a time up to which all commits are applied. Never goes back.
-class Log {
-public:
-    Micros position() {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        const Micros now = now_us();
-        const Micros elapsed = now - std::exchange(updated_at_, now);
-        // A replica that keeps up is busy for about half of the time, so it catches up at twice that speed.
-        const double speed = is_slow_ ? kSlowApplySpeed : 2;
-        position_ =
-            std::min(now - kLogDelay, position_ + static_cast<Micros>(speed * static_cast<double>(elapsed)));
-        return position_;
-    }
-    void set_slow(bool is_slow) {
-        position();
-        const std::lock_guard<std::mutex> lock(mutex_);
-        is_slow_ = is_slow;
-    }
-
-private:
-    std::mutex mutex_;
-    Micros updated_at_ = now_us();
-    Micros position_ = now_us() - kLogDelay;
-    bool is_slow_ = false;
+// A group: which of its members is the primary, and until when a member hangs.
+struct Group {
+    std::atomic<int> primary{0};
+    std::atomic<Micros> hangs_until[kMembersOfGroup] = {};
 };
 
 }  // namespace
@@ -51,114 +34,119 @@
 int main(int argc, char** argv) {
     const auto arguments = case_arguments(argc, argv);
     Record record(arguments.record);
-    Log log;
 
-    // By the read's id: how old the data was that it was answered from, when its last byte arrived.
-    std::mutex ages_mutex;
-    std::map<std::string, Micros> ages;
-    const auto serve_as_replica = [&](const char* name) {
-        return [&, name](Socket& socket, const Query& query) {
-            if (query.text == "SHOW load") {
-                char report[64];
-                std::snprintf(report, sizeof report, "x0=%.6f,x1=0,inflight=1",
-                              static_cast<double>(log.position()) / kSecond);
-                return socket.write(value_answer(report, {false, 0}));
-            }
-            const Micros position = log.position();
-            if (query.is_write())
-                return socket.write(error_answer("25006", {false, position / kMillisecond}));
-            const Micros age = query.arrived_at - position;
-            if (tag_of(query.text, "c") == "roster-view") {
-                const std::lock_guard<std::mutex> lock(ages_mutex);
-                ages[query.id] = age;
-                record.line("%s: %s arrived at %.1f, is answered from data %.1f ms old", name,
-                            query.id.c_str(), record.ms(query.arrived_at), static_cast<double>(age) / 1000);
-            }
-            sleep_us(kWork);
-            return socket.write(value_answer("row", {false, position / kMillisecond}));
-        };
-    };
-    MemberOptions late;
-    late.delay_greeting = [&](int) { return arguments.with_trouble ? kConnectDelay : 0; };
-    Member primary("primary", [](Socket& socket, const Query& query) {
-        if (query.text == "SHOW load") {
-            char report[64];
-            std::snprintf(report, sizeof report, "x0=%.6f,x1=1,inflight=1",
-                          static_cast<double>(now_us()) / kSecond);
-            return socket.write(value_answer(report, {true, 0}));
+    Group groups[2];
+    std::vector<std::unique_ptr<Member>> members;
+    std::vector<Entry> entries;
+    for (int group = 0; group < 2; ++group)
+        for (int number = 0; number < kMembersOfGroup; ++number) {
+            const auto name = "s-0000" + std::to_string(group + 1) + "00" + std::to_string(number + 1);
+            members.push_back(std::make_unique<Member>(name, [&, group, number, name](Socket& socket,
+                                                                                      const Query& query) {
+                auto& state = groups[group];
+                if (query.is_write()) record.line("%s: gets %s", name.c_str(), query.id.c_str());
+                if (now_us() < state.hangs_until[number]) {
+                    sleep_us(state.hangs_until[number] - now_us());
+                    // It comes back as a replica; a write that it still held ends in an error.
+                    return socket.write(error_answer("XX000", {false, now_us() / kMillisecond}));
+                }
+                sleep_us(20 * kMillisecond);
+                const Status status{state.primary == number, now_us() / kMillisecond};
+                if (query.is_write() && !status.is_primary)
+                    return socket.write(error_answer("25006", status));
+                return socket.write(value_answer("ok", status, query.is_write() ? "INSERT 0 1" : "SELECT 1"));
+            }));
+            entries.push_back(
+                {name, members.back()->port(), number % 2 ? "b" : "a", "in_service", "", group + 1, 0});
         }
-        sleep_us(kWork);
-        return socket.write(value_answer("row", {true, now_us() / kMillisecond}));
-    });
-    Member replica_1("replica-1", serve_as_replica("replica-1"), late);
-    Member replica_2("replica-2", serve_as_replica("replica-2"));
-    Discovery discovery({{"s-00000001", primary.port(), "a", "in_service", "primary"},
-                         {"s-00000002", replica_1.port(), "a", "in_service", "replica"},
-                         {"s-00000003", replica_2.port(), "a", "in_service", "replica"}});
+    Discovery discovery(entries);
 
     SiteSettings site;
-    site.checks = "none";
-    site.probes = true;
-    site.second_copies = true;
-    site.classes = {{"roster-view", "read_like", "lag_bound", kDeadlineMs, 250, 0, kBoundMs},
-                    {"hours-report", "read_like", "eventual", 750, 250}};
+    site.checks = "await";
+    site.role_listed = "none";
+    site.classes = {{"campaign-load", "read_like", "eventual", 3'000, 1'000},
+                    {"call-outcome", "idempotency_key", "mutate", kDeadlineMs, 600, kWindowMs}};
     ProxyOptions options;
+    options.memory_mb = kMemoryMb;
     options.settings = json_of(site);
     Proxy proxy(arguments.folder, options, discovery.port());
     proxy.start();
 
-    std::atomic<int> served{0};
-    std::atomic<int> stale{0};
-    const auto ask = [&](const char* request_class, int deadline_ms, Client& client) {
+    const auto hex_of = [](std::size_t bytes) { return std::string(2 * bytes, 'a'); };
+    const auto large = hex_of(kLargeValue);
+    const auto usual = hex_of(kUsualValue);
+    std::atomic<int> lost{0}, answered{0};
+    const auto write = [&](int cluster, const std::string& hex, int time_ms) {
+        Client client(proxy.port());
+        if (!client.is_connected() || !client.start()) return false;
         const auto id = next_id();
-        const auto answer =
-            client.ask(select_statement("row", id, {request_class, deadline_ms, 1, ""}), now_us() + kSecond);
-        if (std::string(request_class) != "roster-view" || answer.kind != AnswerKind::served) return;
-        ++served;
-        const std::lock_guard<std::mutex> lock(ages_mutex);
-        const auto age = ages.find(id);
-        if (age == ages.end() || age->second <= kBoundMs * kMillisecond + kSocketSlack) return;
-        ++stale;
-        record.line("client: %s was served data %.1f ms old", id.c_str(),
-                    static_cast<double>(age->second) / 1000);
+        const Micros begun_at = now_us();
+        if (!client.send(
+                insert_statement("r" + id, hex, id, {"call-outcome", time_ms, cluster, ",k=k" + id})))
+            return false;
+        const Micros taken_at = now_us();
+        record.line("client: write %s of %zu bytes to cluster %d, d=%d, is written whole after %.1f ms",
+                    id.c_str(), hex.size() / 2, cluster, time_ms,
+                    static_cast<double>(taken_at - begun_at) / 1000);
+        const auto answer = client.read_answer(taken_at + 8 * kSecond);
+        const Micros after = answer.at - taken_at;
+        const bool is_lost = after > time_ms * kMillisecond + kLateFrom;
+        record.line("client: write %s: %s %s after %.1f ms%s", id.c_str(), name_of(answer.kind),
+                    answer.code.c_str(), static_cast<double>(after) / 1000, is_lost ? ": LOST" : "");
+        ++answered;
+        if (is_lost) ++lost;
+        return answer.kind == AnswerKind::served;
     };
-
-    // Other reads keep the proxy informed of the replicas' positions.
-    std::atomic<bool> is_over{false};
-    std::vector<std::thread> others;
-    for (int number = 0; number < 2; ++number)
-        others.emplace_back([&, number] {
-            Client client(proxy.port());
-            if (!client.is_connected() || !client.start()) return;
-            sleep_us(number * 40 * kMillisecond);
-            while (!is_over) {
-                ask("hours-report", 750, client);
-                sleep_us(20 * kMillisecond);
+    // Reads of both groups, with which the proxy learns who has taken over.
+    std::vector<std::thread> readers;
+    for (const int cluster : {1, 2})
+        readers.emplace_back([&, cluster] {
+            std::unique_ptr<Client> client;
+            for (;; sleep_us(30 * kMillisecond)) {
+                if (!client) client = std::make_unique<Client>(proxy.port());
+                if (!client->is_connected() || !client->start()) client.reset();
+                while (client) {
+                    const auto answer =
+                        client->ask(select_statement("row", next_id(), {"campaign-load", 3'000, cluster, ""}),
+                                    now_us() + 4 * kSecond);
+                    if (answer.kind == AnswerKind::closed || answer.kind == AnswerKind::none) client.reset();
+                    sleep_us(30 * kMillisecond);
+                }
             }
         });
-
-    for (int episode = 0; episode < kEpisodes; ++episode) {
-        sleep_us(episode == 0 ? 2 * kSecond : kQuiet);
-        std::vector<std::unique_ptr<Client>> clients;
-        for (int number = 0; number < kBurst; ++number) {
-            clients.push_back(std::make_unique<Client>(proxy.port()));
-            if (!clients.back()->is_connected() || !clients.back()->start()) clients.pop_back();
-        }
+    const auto wait_until_served = [&](int cluster) {
+        const Micros until = now_us() + 10 * kSecond;
+        while (!write(cluster, "aa", 1'000))
+            if (now_us() > until) cannot_run("the groups take no writes");
+    };
+    for (int round = 0; round < kRounds; ++round) {
+        for (int number = 0; number < 5; ++number)
+            for (const int cluster : {1, 2}) wait_until_served(cluster);
+        const Micros began_at = now_us();
+        const int hanging = groups[0].primary;
         if (arguments.with_trouble) {
-            record.line("the replicas begin to apply the log 10 times more slowly");
-            log.set_slow(true);
+            groups[0].hangs_until[hanging] = began_at + kHangsFor;
+            record.line("the primary of cluster 1 hangs");
+        }
+        std::vector<std::thread> threads;
+        for (int number = 0; number < kLargeWrites; ++number) {
+            threads.emplace_back([&] { write(1, large, kDeadlineMs); });
+            sleep_us(30 * kMillisecond);
+        }
+        sleep_us(200 * kMillisecond);
+        for (int number = 0; number < kWrites; ++number) {
+            threads.emplace_back([&] { write(2, usual, kShortTryMs); });
+            sleep_us(30 * kMillisecond);
         }
-        sleep_us(kBurstAfter);
-        std::vector<std::thread> burst;
-        for (auto& client : clients) burst.emplace_back([&] { ask("roster-view", kDeadlineMs, *client); });
-        for (auto& thread : burst) thread.join();
-        sleep_us(kSlowFor - kBurstAfter);
-        if (arguments.with_trouble) record.line("the replicas apply the log at their usual speed again");
-        log.set_slow(false);
+        for (auto& thread : threads) thread.join();
+        if (!arguments.with_trouble) continue;
+        sleep_us(began_at + kTakeover - now_us());
+        groups[0].primary = (hanging + 1) % kMembersOfGroup;
+        record.line("a replica of cluster 1 has taken over");
+        sleep_us(began_at + kHangsFor + kSecond - now_us());
     }
-    is_over = true;
-    for (auto& thread : others) thread.join();
-    finish(proxy, record, stale > 0,
-           std::to_string(stale) + " of " + std::to_string(served) + " bounded reads were served data over " +
-               std::to_string(kBoundMs) + " ms old");
+    for (auto& reader : readers) reader.detach();
+    finish(proxy, record, lost > 0,
+           std::to_string(lost) + " of " + std::to_string(answered) +
+               " writes got their answers over 0.5 s after their time");
 }
