--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -26,6 +26,7 @@
     const auto serve = [&](const char* name, bool is_primary) {
         return [&, name, is_primary](Socket& socket, const Query& query) {
             sleep_us(kWork);
+            record.line("%s: runs %s", name, query.id.c_str());
             const Status status{is_primary, now_us() / kMillisecond};
             const auto row_start = query.text.find('\'') + 1;
             const auto row = query.text.substr(row_start, query.text.find('\'', row_start) - row_start);
@@ -76,6 +77,7 @@
                     select_statement(row, id, {"hours-report", kDeadlineMs, 1, ""}), now_us() + kSecond);
                 if (answer.kind == AnswerKind::served) {
                     ++served;
+                    record.line("client: %s: served '%s'", id.c_str(), answer.value.c_str());
                     if (answer.value != "value of " + row) {
                         ++foreign;
                         record.line("client: asked for %s as %s, was served '%s'", row.c_str(), id.c_str(),
--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -106,9 +106,12 @@
                 if (!client) client = std::make_unique<Client>(proxy.port());
                 if (!client->is_connected() || !client->start()) client.reset();
                 while (client) {
+                    const auto id = next_id();
                     const auto answer =
-                        client->ask(select_statement("row", next_id(), {"campaign-load", 3'000, cluster, ""}),
+                        client->ask(select_statement("row", id, {"campaign-load", 3'000, cluster, ""}),
                                     now_us() + 4 * kSecond);
+                    record.line("client: read %s of cluster %d: %s %s", id.c_str(), cluster,
+                                name_of(answer.kind), answer.code.c_str());
                     if (answer.kind == AnswerKind::closed || answer.kind == AnswerKind::none) client.reset();
                     sleep_us(30 * kMillisecond);
                 }
