--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -2,7 +2,7 @@
 // copy of it. The endpoint's socket has no TCP_NODELAY, so its kernel holds the second copy back until the
 // first is acknowledged. The proxy's next query on the connection carries the acknowledgement: the copy
 // arrives behind the query and is read as its answer.
-#include "standins.h"
+#include "standins-2.h"
 
 using namespace standins;
 
--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,7 +1,7 @@
 // The primary of one group hangs. A few large writes to it hold the whole memory budget for large statements
 // until their deadlines. Writes to another, healthy group stay unread meanwhile, and get their answers long
 // after their time.
-#include "standins.h"
+#include "standins-2.h"
 
 using namespace standins;
 
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,7 +1,7 @@
 // A client sends several commands at once and closes its connection while the first one runs. The end of its
 // input lies behind large commands that the proxy does not read yet. When the first answer has come, the
 // proxy forwards the second command, although its client has left long before.
-#include "standins.h"
+#include "standins-2.h"
 
 using namespace standins;
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 for source in review/{6,7,8,9,10}/case.cpp; do
     [ -e "$source" ] || continue
     number=$(basename "$(dirname "$source")")
-    g++ -std=c++17 -O2 -Wall -Wextra -pthread -Ireview/standins-2 -o "build-review-2/case$number" "$source" &
+    g++ -std=c++17 -O2 -Wall -Wextra -pthread -Ireview -o "build-review-2/case$number" "$source" &
     jobs+=($!)
 done
 for job in "${jobs[@]}"; do wait "$job"; done
