Acknowledge responses at once, so that a held-back duplicate arrives before reuse

Callers got values of other requests: an endpoint without TCP_NODELAY wrote a response twice, its kernel held the copy back until the response was acknowledged, and the proxy's next query on the connection carried that acknowledgement. The copy arrived behind the query and was served as its response.

--- a/src/net/transport/connection.cpp
+++ b/src/net/transport/connection.cpp
@@ -233,6 +233,11 @@
     return unacknowledged_bytes == 0;
 }
 
+void Connection::acknowledge_now() {
+    const int enabled = 1;  // until the kernel next chooses to delay acknowledgements
+    setsockopt(bufferevent_getfd(bev_.get()), IPPROTO_TCP, TCP_QUICKACK, &enabled, sizeof enabled);
+}
+
 bool Connection::peer_has_closed() const {
     pollfd request{bufferevent_getfd(bev_.get()), POLLRDHUP, 0};
     int ready = 0;
--- a/src/net/transport/connection.h
+++ b/src/net/transport/connection.h
@@ -94,6 +94,9 @@
     // Returns whether the peer's kernel has acknowledged all written bytes, which it does only while the
     // socket is open there; std::nullopt if the kernel does not tell.
     std::optional<bool> is_output_acknowledged() const;
+    // Has the kernel acknowledge the bytes received so far at once. It would delay that by up to 40 ms,
+    // during which the kernel of a peer without TCP_NODELAY holds back the next small write.
+    void acknowledge_now();
     // Returns true if the peer has sent a FIN or a RST, even if unread bytes precede it in the socket buffer.
     bool peer_has_closed() const;
 
--- a/src/upstream/postgres/postgres_connection.cpp
+++ b/src/upstream/postgres/postgres_connection.cpp
@@ -82,6 +82,9 @@
 
 // ---- Receiving ----
 void PostgresConnection::received() {
+    // An endpoint's kernel may hold a duplicate response back until the response is acknowledged. It has to
+    // arrive before the connection is reused.
+    if (value_bytes_left_ <= connection_->unread_bytes()) connection_->acknowledge_now();
     try {
         // A callback may fail the connection or send its next query, but does not destroy this object at
         // once.
--- a/tests/integration/emulated_peers.cpp
+++ b/tests/integration/emulated_peers.cpp
@@ -112,6 +112,20 @@
     pending_queries_.erase(query);
 }
 
+void EmulatedPeers::respond_twice_to(const std::string& id) {
+    const auto query = find_pending(id);
+    if (query == pending_queries_.end()) return;
+    auto& peer = *query->first;
+    respond_to(id);
+    peer.send(response_with(id + "!"));
+}
+
+std::vector<std::string> EmulatedPeers::pending_ids() const {
+    std::vector<std::string> ids;
+    for (const auto& [peer, id] : pending_queries_) ids.push_back(id);
+    return ids;
+}
+
 void EmulatedPeers::reset_connection_of(const std::string& id) {
     const auto query = find_pending(id);
     if (query == pending_queries_.end()) return;
@@ -153,6 +167,7 @@
     if (!message || !endpoints_accept_startup) return false;
     peer.received.erase(0, message->size);
     started_peers_.insert(&peer);
+    peer.set_no_delay(endpoints_send_small_writes_at_once);
     peer.send(build([](auto& builder) {
         builder.authentication_ok().parameter_status("role", "replica").ready_for_query();
     }));
--- a/tests/integration/emulated_peers.h
+++ b/tests/integration/emulated_peers.h
@@ -63,6 +63,10 @@
     void respond_to_all();
     /// Responds to the query with this id, if it has arrived.
     void respond_to(const std::string& id);
+    /// Responds to the query with this id, if it has arrived, and writes the response a second time.
+    void respond_twice_to(const std::string& id);
+    /// Returns the ids of the queries that have no response yet.
+    std::vector<std::string> pending_ids() const;
     /// Sends the first message of each pending response (RowDescription).
     void begin_responses();
     void reset_endpoints();
@@ -83,6 +87,7 @@
 
     int draining_endpoint = -1;
     bool endpoints_accept_startup = true;
+    bool endpoints_send_small_writes_at_once = true;  // TCP_NODELAY of new endpoint connections
     std::vector<ReceivedQuery> queries;
 
 protected:
--- a/tests/integration/loopback.cpp
+++ b/tests/integration/loopback.cpp
@@ -11,10 +11,7 @@
 
 namespace loopback {
 
-Peer::Peer(int socket) : fd_(socket) {
-    const int on = 1;
-    setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-}
+Peer::Peer(int socket) : fd_(socket) { set_no_delay(true); }
 
 Peer::Peer(Peer&& other) noexcept
     : received(std::move(other.received)), ended(other.ended), fd_(std::exchange(other.fd_, -1)) {}
@@ -51,6 +48,11 @@
     return getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0;
 }
 
+void Peer::set_no_delay(bool enabled) {
+    const int value = enabled ? 1 : 0;
+    setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &value, sizeof value);
+}
+
 void Peer::half_close() { shutdown(fd_, SHUT_WR); }
 
 void Peer::close() {
--- a/tests/integration/loopback.h
+++ b/tests/integration/loopback.h
@@ -39,6 +39,8 @@
     /// Returns whether the other end has reset the connection.
     bool was_reset() const;
     bool is_open() const { return fd_ >= 0; }
+    /// With `enabled` false, the kernel holds a small write back until earlier ones are acknowledged.
+    void set_no_delay(bool enabled);
     void half_close();
     void close();
     void reset();
--- a/tests/process/proxy_process.cpp
+++ b/tests/process/proxy_process.cpp
@@ -162,6 +162,18 @@
 
 bool has_error(Peer& client, const std::string& sqlstate) { return message_count(client, 'E', sqlstate) > 0; }
 
+std::vector<std::string> values(Peer& client) {
+    std::vector<std::string> found;
+    for_each_message(client, [&](const pgwire::Message& message) {
+        if (message.type != 'D') return true;
+        pgwire::FieldReader fields(message.body);
+        fields.int16();
+        found.emplace_back(fields.bytes(fields.int32()));
+        return true;
+    });
+    return found;
+}
+
 bool is_ready(Peer& client) { return message_count(client, 'Z') > 0; }
 
 std::pair<std::uint32_t, std::uint32_t> cancel_key(Peer& client) {
