Limit how long a statement waits for memory, and keep a part for ordinary ones

Callers got answers over 0.5 s after their time: large writes to a hanging primary held the memory for large statements until their deadlines, smaller ones waited behind them in order, and the wait had no limit, because the deadline stands at the end of the statement.

Reservations over 256 KiB now use three quarters of the budget at most and have their own queue. A statement without memory 250 ms after its arrival is discarded as it is read, and rejected.

--- a/src/base/metrics/session_metrics.cpp
+++ b/src/base/metrics/session_metrics.cpp
@@ -71,6 +71,7 @@
                           {"accept_paused_ms", accept_paused_us_ / kMicrosPerMillisecond},
                           {"dropped_requests", dropped_requests_},
                           {"delayed_requests", delayed_requests_},
+                          {"memory_rejections", memory_rejections_},
                           {"max_request_age_ms", max_request_age_us_ / kMicrosPerMillisecond},
                           {"late_iterations", late_iterations_},
                           {"max_iteration_delay_ms", max_iteration_delay_us_ / kMicrosPerMillisecond},
--- a/src/base/metrics/session_metrics.h
+++ b/src/base/metrics/session_metrics.h
@@ -38,6 +38,8 @@
     void count_dropped_request() { increment(dropped_requests_); }
     // A request had waited for `age` in the kernel when it was read.
     void count_request_read(decision::Micros age);
+    // A large statement was discarded because there was no memory for it in time.
+    void count_memory_rejection() { increment(memory_rejections_); }
     // The event loop returned from its wait `delay` later than it was due.
     void count_late_iteration(decision::Micros delay);
 
@@ -53,6 +55,7 @@
     std::uint64_t accept_pauses_ = 0;
     std::uint64_t dropped_requests_ = 0;
     std::uint64_t delayed_requests_ = 0;
+    std::uint64_t memory_rejections_ = 0;
     std::uint64_t late_iterations_ = 0;
     decision::Micros accept_paused_us_ = 0;
     decision::Micros max_request_age_us_ = 0;
--- a/src/downstream/sessions/client_framer.cpp
+++ b/src/downstream/sessions/client_framer.cpp
@@ -65,6 +65,11 @@
     return size;
 }
 
+Time ClientFramer::next_message_arrival() {
+    return arrivals_.arrival_of(connection_->consumed_bytes() + pgwire::kMessageHeaderBytes,
+                                last_arrival_at_);
+}
+
 bool ClientFramer::reserve_large_statement(std::size_t size) {
     reservation_ = budget_.reserve(size, this);
     waits_for_memory_ = !reservation_;
--- a/src/downstream/sessions/client_framer.h
+++ b/src/downstream/sessions/client_framer.h
@@ -52,6 +52,8 @@
     // Returns the text of the next message if it is a complete query of at most `max_size` bytes.
     std::optional<std::string_view> peek_query(std::size_t max_size) const;
 
+    // Returns the arrival time of the next message's header.
+    Time next_message_arrival();
     // Returns the size in bytes of the next message if it is a large statement.
     std::optional<std::size_t> large_statement_size() const;
     // Reserves memory for a large statement of `size` bytes. Returns false if the budget has none left; the
--- a/src/downstream/sessions/client_session.cpp
+++ b/src/downstream/sessions/client_session.cpp
@@ -15,6 +15,9 @@
 // an upstream connection, of which there are few.
 constexpr std::size_t kMaxOpenQueries = 8;
 constexpr Micros kMemoryRetryDelayUs = 5'000;
+// How long a large statement may wait for memory, from its arrival. Its deadline stands at its end and is not
+// known yet, and a response may be at most 0.5 s late.
+constexpr Micros kMaxMemoryWaitUs = 250'000;
 constexpr Micros kIdleBeforeFirstQueryUs = 50'000;
 constexpr Micros kStalledMessageUs = 500'000;  // longer than slow clients pause between two writes
 
@@ -149,19 +152,25 @@
 }
 
 // Memory for the whole statement is reserved before its body is read; until then the body stays in the socket
-// buffer.
+// buffer. If there is none in time, the body is discarded and the request is rejected.
 bool ClientSession::begin_large_statement(std::size_t size) {
     if (rejection_) {
         framer_.skip_large_statement(size);
         return continue_large_statement();
     }
-    if (!framer_.reserve_large_statement(size)) {
-        const Time retry_at = context_.deadlines.now() + kMemoryRetryDelayUs;
-        resume_reading_.set(context_.deadlines, retry_at, [this] { read_messages(); });
+    const bool has_memory = framer_.reserve_large_statement(size);
+    const Time now = context_.deadlines.now();
+    if (!has_memory && now < framer_.next_message_arrival() + kMaxMemoryWaitUs) {
+        resume_reading_.set(context_.deadlines, now + kMemoryRetryDelayUs, [this] { read_messages(); });
         return false;
     }
     owner_.session_used(*this);
-    framer_.begin_large_statement(size);
+    if (has_memory) {
+        framer_.begin_large_statement(size);
+    } else {
+        context_.session_metrics.count_memory_rejection();
+        framer_.skip_large_statement(size);
+    }
     return continue_large_statement();
 }
 
@@ -171,7 +180,7 @@
     timeouts_.on_message_read();
     message_arrived_at_ = framer_.large_statement_arrival();
     if (statement->is_skipped) {
-        if (!skip_to_sync_) reject_query(kUnknownRequestClass);
+        if (!skip_to_sync_) reject_skipped_statement();
         return true;
     }
     auto& text = statement->text;
--- a/src/downstream/sessions/client_session.h
+++ b/src/downstream/sessions/client_session.h
@@ -125,6 +125,7 @@
     void reject_request(int request_class, Micros retry_after);
     // Rejects a query because all of them are rejected.
     void reject_query(int request_class);
+    void reject_skipped_statement();
     void finish_if_rejected();
     void respond_with_error(std::string_view sqlstate, std::string_view message);
     void fail_session(metrics::SessionEnd reason, std::string_view sqlstate, std::string_view message);
--- a/src/downstream/sessions/client_session_messages.cpp
+++ b/src/downstream/sessions/client_session_messages.cpp
@@ -83,6 +83,11 @@
     reject_request(request_class, rejection_->retry_after);
 }
 
+void ClientSession::reject_skipped_statement() {
+    if (rejection_) return reject_query(kUnknownRequestClass);
+    reject_request(kUnknownRequestClass, kRetryAfterWhenBusyUs);
+}
+
 void ClientSession::reject_statement(const StatementError& error) {
     switch (error.kind) {
         case StatementError::Kind::malformed:
--- a/src/net/transport/memory_budget.h
+++ b/src/net/transport/memory_budget.h
@@ -1,43 +1,88 @@
-// A memory budget for objects too large to be buffered without a reservation. Reservations are granted in the
-// order of the first request of each requester, so that smaller ones that would fit do not keep a large one
-// waiting.
+// A memory budget for objects too large to be buffered without a reservation. There are two kinds of
+// reservations, ordinary and large ones. Large ones may use a part of the limit only, so that they never keep
+// ordinary ones waiting. Within a kind, reservations are granted in the order of the first request of each
+// requester, so that smaller ones that would fit do not keep a larger one waiting.
 #pragma once
 
 #include <algorithm>
+#include <array>
 #include <cstddef>
 #include <cstdint>
-#include <list>
+#include <deque>
 #include <memory>
+#include <unordered_set>
 
 namespace sloestack::net {
 
 class MemoryBudget {
 public:
+    // The largest ordinary reservation.
+    static constexpr std::size_t kMaxOrdinaryBytes = std::size_t{256} * 1024;
+
     explicit MemoryBudget(std::size_t limit) : limit_(limit) {}
     MemoryBudget(const MemoryBudget&) = delete;
     MemoryBudget& operator=(const MemoryBudget&) = delete;
 
     void set_limit(std::size_t limit) { limit_ = limit; }
-    std::size_t reserved() const { return *reserved_; }
+    std::size_t reserved() const { return usage_->ordinary + usage_->large; }
     // Returns a reservation that is released with the last copy of the returned pointer; the pointer may
     // outlive the budget. Returns null if `requester` has to wait: it is queued then, and must call again
-    // later or call stop_waiting(). While nothing is reserved, the first request in the queue is granted
-    // whatever its size.
+    // later or call stop_waiting(). While nothing of its kind is reserved, a request may exceed its part of
+    // the limit, up to kMaxExcess times the limit.
     std::shared_ptr<void> reserve(std::size_t bytes, const void* requester) {
-        const bool is_queued = std::find(queue_.begin(), queue_.end(), requester) != queue_.end();
-        if (!is_queued) queue_.push_back(requester);
-        const bool fits = *reserved_ == 0 || *reserved_ + bytes <= limit_;
-        if (queue_.front() != requester || !fits) return nullptr;
-        queue_.pop_front();
-        *reserved_ += bytes;
-        return {reserved_.get(), [total = reserved_, bytes](void*) { *total -= bytes; }};
+        const bool is_large = bytes > kMaxOrdinaryBytes;
+        auto& queue = queues_[is_large ? 1 : 0];
+        queue.add(requester);
+        if (queue.front() != requester || !fits(bytes, is_large)) return nullptr;
+        queue.remove(requester);
+        auto& used = is_large ? usage_->large : usage_->ordinary;
+        used += bytes;
+        return {&used, [usage = usage_, &used, bytes](void*) { used -= bytes; }};
+    }
+    void stop_waiting(const void* requester) {
+        for (auto& queue : queues_) queue.remove(requester);
     }
-    void stop_waiting(const void* requester) { queue_.remove(requester); }
 
 private:
+    static constexpr std::size_t kMaxExcess = 2;
+
+    struct Usage {
+        std::size_t ordinary = 0;
+        std::size_t large = 0;
+    };
+
+    // Requesters that wait, first come first.
+    class Queue {
+    public:
+        void add(const void* requester) {
+            if (members_.insert(requester).second) order_.push_back(requester);
+        }
+        void remove(const void* requester) {
+            if (members_.erase(requester) == 0) return;
+            order_.erase(std::find(order_.begin(), order_.end(), requester));
+        }
+        const void* front() const { return order_.front(); }
+
+    private:
+        std::deque<const void*> order_;
+        std::unordered_set<const void*> members_;
+    };
+
+    std::size_t max_large() const { return limit_ - limit_ / 4; }
+    bool fits(std::size_t bytes, bool is_large) const {
+        const auto large = usage_->large;
+        const auto ordinary = usage_->ordinary;
+        if (bytes > kMaxExcess * limit_) return false;
+        if (is_large) {
+            const bool fits_part = large == 0 || large + bytes <= max_large();
+            return fits_part && ordinary + std::min(large + bytes, max_large()) <= limit_;
+        }
+        return ordinary + std::min(large, max_large()) + bytes <= limit_ || ordinary + large == 0;
+    }
+
     std::size_t limit_;
-    std::shared_ptr<std::size_t> reserved_ = std::make_shared<std::size_t>(0);  // shared with reservations
-    std::list<const void*> queue_;  // requesters that wait, first come first
+    std::shared_ptr<Usage> usage_ = std::make_shared<Usage>();  // shared with reservations
+    std::array<Queue, 2> queues_;                               // of ordinary and of large reservations
 };
 
 // Returns the limit in bytes for the buffers of all client connections: a quarter of the process's memory
--- a/tests/integration/emulated_peers.cpp
+++ b/tests/integration/emulated_peers.cpp
@@ -38,7 +38,7 @@
 
 // Returns the value of a tag in a statement, up to the next comma.
 std::string tag(const std::string& statement, std::string_view name) {
-    const auto from = statement.find(name) + name.size();
+    const auto from = statement.find(name, statement.rfind("/*")) + name.size();
     return statement.substr(from, statement.find(',', from) - from);
 }
 
@@ -76,10 +76,22 @@
     return build([](auto& builder) { builder.startup_message("u", "d"); });
 }
 
+static std::string comment(const std::string& id, const char* request_class, Micros deadline) {
+    return " /* id=" + id + ",c=" + request_class + ",d=" + std::to_string(deadline / 1000) + ",k=" + id +
+           ",cluster=0 */";
+}
+
 std::string request_message(const std::string& id, const char* request_class, Micros deadline) {
     return build([&](auto& builder) {
-        builder.query("SELECT data FROM facts WHERE code = 'x' /* id=" + id + ",c=" + request_class +
-                      ",d=" + std::to_string(deadline / 1000) + ",k=" + id + ",cluster=0 */");
+        builder.query("SELECT data FROM facts WHERE code = 'x'" + comment(id, request_class, deadline));
+    });
+}
+
+std::string write_message(const std::string& id, const char* request_class, Micros deadline,
+                          std::size_t value_bytes) {
+    return build([&](auto& builder) {
+        builder.query("INSERT INTO facts (code, data) VALUES ('x', '\\x" + std::string(value_bytes, 'a') +
+                      "') RETURNING data" + comment(id, request_class, deadline));
     });
 }
 
--- a/tests/integration/emulated_peers.h
+++ b/tests/integration/emulated_peers.h
@@ -42,6 +42,9 @@
 std::string startup_message();
 /// Returns a request with this id; the client waits for its response until `deadline` has passed.
 std::string request_message(const std::string& id, const char* request_class, Micros deadline);
+/// Returns a request of this class, a keyed write, whose statement holds `value_bytes` bytes of a value.
+std::string write_message(const std::string& id, const char* request_class, Micros deadline,
+                          std::size_t value_bytes);
 /// Returns the CancelRequest for the session with this key.
 std::string cancel_message(std::pair<std::uint32_t, std::uint32_t> key);
 
--- a/tests/integration/loopback.cpp
+++ b/tests/integration/loopback.cpp
@@ -36,10 +36,12 @@
     }
 }
 
-bool Peer::send(const std::string& bytes) {
-    if (fd_ < 0) return false;
+bool Peer::send(const std::string& bytes) { return fd_ >= 0 && send_part(bytes) == bytes.size(); }
+
+std::size_t Peer::send_part(std::string_view bytes) {
+    if (fd_ < 0) return 0;
     const auto sent = ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
-    return sent == static_cast<ssize_t>(bytes.size());
+    return sent < 0 ? 0 : static_cast<std::size_t>(sent);
 }
 
 bool Peer::was_reset() const {
--- a/tests/integration/loopback.h
+++ b/tests/integration/loopback.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <list>
 #include <string>
+#include <string_view>
 
 #include "deadlines/clock.h"
 
@@ -36,6 +37,8 @@
     void read();
     /// Sends without blocking. Returns whether the kernel accepted all of `bytes`.
     bool send(const std::string& bytes);
+    /// Sends without blocking. Returns how many bytes the kernel accepted.
+    std::size_t send_part(std::string_view bytes);
     /// Returns whether the other end has reset the connection.
     bool was_reset() const;
     bool is_open() const { return fd_ >= 0; }
--- a/tests/net/transport_test.cpp
+++ b/tests/net/transport_test.cpp
@@ -1,6 +1,9 @@
 // Tests of the memory budget, the descriptor quota and the byte account.
 #include <gtest/gtest.h>
 
+#include <memory>
+#include <vector>
+
 #include <utility>
 
 #include "transport/byte_account.h"
@@ -34,6 +37,24 @@
     ASSERT_TRUE(budget.reserve(1, &c));
 }
 
+TEST(MemoryBudget, LargeReservationsKeepNoOrdinaryOneWaiting) {
+    constexpr auto kLarge = net::MemoryBudget::kMaxOrdinaryBytes + 1;
+    net::MemoryBudget budget(4 * kLarge);
+    int a = 0, b = 0;
+    std::vector<std::shared_ptr<void>> large;
+    while (auto reservation = budget.reserve(kLarge, &a)) large.push_back(std::move(reservation));
+    ASSERT_EQ(large.size(), 3u);
+    auto ordinary = budget.reserve(kLarge - 1, &b);
+    ASSERT_TRUE(ordinary && !budget.reserve(kLarge - 1, &b));
+    large.clear();
+    ASSERT_TRUE(!budget.reserve(9 * kLarge, &a));  // over twice the limit
+    budget.stop_waiting(&a);
+    large.push_back(budget.reserve(8 * kLarge, &a));
+    ASSERT_TRUE(large.back());
+    ordinary.reset();
+    ASSERT_TRUE(budget.reserve(kLarge - 1, &b));
+}
+
 TEST(DescriptorQuota, ReleasesSlotWhenItIsDestroyed) {
     net::DescriptorQuota quota(2);
     auto a = quota.acquire();
