Require a proof of the client's presence behind unread input that may hide a FIN

Callers' requests were forwarded about 0.2 s after they had closed: behind large unread queries the receive buffer is full, the FIN cannot arrive, and the check before an attempt saw neither a FIN nor an error. Before the response to the first query had drawn a RST, the second one was on its way.

While anything is pending on the socket, the client now counts as connected only if its host has acknowledged bytes written within the last 50 ms: the response before, a chunk of it, or a notice.

The new process test failed before.

Shutdown.RespondsToQueriesThatWaitInTheKernel let its clock stand still until the first query was forwarded; verifying the presence takes 2 ms of it now, so the set-up lets time pass. What the test checks is unchanged.

--- a/src/downstream/sessions/disconnect_detector.cpp
+++ b/src/downstream/sessions/disconnect_detector.cpp
@@ -20,42 +20,41 @@
 
 traffic::ClientPresence DisconnectDetector::client_presence() {
     using traffic::ClientPresence;
+    check_probe();
     if (!connection_->is_error_free()) {
         // Deferred: the caller may be using this session.
         check_.set(deadlines_, deadlines_.now(), [this] { owner_.on_client_disconnected(); });
         return ClientPresence::disconnected;
     }
-    if (!has_fin()) return ClientPresence::connected;
-    if (probe_is_acknowledged()) {
-        probe_is_outstanding_ = false;
-        last_present_at_ = probe_sent_at_;
-    }
+    if (!may_have_disconnected()) return ClientPresence::connected;
     if (last_present_at_ && deadlines_.now() - *last_present_at_ < kProbeValidityUs)
         return ClientPresence::connected;
-    if (!probe_is_outstanding_) send_probe();
+    if (!probe_) send_probe();
     return ClientPresence::unverified;
 }
 
-bool DisconnectDetector::has_fin() const {
-    return owner_.input_has_ended() || connection_->peer_has_closed();
+bool DisconnectDetector::may_have_disconnected() const {
+    return owner_.input_has_ended() || connection_->has_pending_input();
 }
 
-// A notice must not be written between the parts of a response.
+// A notice must not be written between the parts of a response, whose next part serves as the probe.
 void DisconnectDetector::send_probe() {
-    if (owner_.is_streaming_response()) return;
-    probe_is_outstanding_ = true;
-    probe_sent_at_ = deadlines_.now();
-    connection_->write(input_ended_notice());
+    has_sent_probe_ = true;
+    probe_ = Probe{connection_->sent_bytes(), deadlines_.now()};
+    if (connection_->unwritten_bytes() == 0 && !owner_.is_streaming_response())
+        connection_->write(input_ended_notice());
 }
 
-bool DisconnectDetector::probe_is_acknowledged() const {
-    if (!probe_is_outstanding_ || deadlines_.now() - probe_sent_at_ < kFirstCheckDelayUs) return false;
-    return connection_->is_output_acknowledged().value_or(true);
+void DisconnectDetector::check_probe() {
+    if (!probe_ || deadlines_.now() - probe_->sent_at < kFirstCheckDelayUs) return;
+    if (connection_->acknowledged_bytes().value_or(connection_->sent_bytes()) <= probe_->position) return;
+    last_present_at_ = probe_->sent_at;
+    probe_.reset();
 }
 
 void DisconnectDetector::schedule_check(Micros delay) {
     if (owner_.is_streaming_response()) return;
-    if (probe_sent_at_ == 0 && has_fin()) send_probe();
+    if (!has_sent_probe_ && may_have_disconnected()) send_probe();
     check_.set(deadlines_, deadlines_.now() + delay, [this] { check(); });
 }
 
--- a/src/downstream/sessions/disconnect_detector.h
+++ b/src/downstream/sessions/disconnect_detector.h
@@ -1,9 +1,12 @@
 // Detects whether a client that waits for a response has disconnected. A FIN does not show that: the client
-// may have half-closed the connection after its last query and still be reading. So a NoticeResponse is
-// written after a FIN, as a probe: the host of a client that still reads acknowledges it, and the client
-// ignores it, while the host of one that has closed responds with a RST. The socket is checked at intervals.
+// may have half-closed the connection after its last query and still be reading. Nor does the absence of a
+// FIN while unread input fills the receive buffer, because a FIN cannot arrive behind it. In both cases
+// output serves as a probe: the host of a client that is still connected acknowledges it, while the host of
+// one that has closed responds with a RST. If there is no output, a NoticeResponse is written, which clients
+// ignore. The socket is checked at intervals.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 
 #include "deadlines/deadlines.h"
@@ -43,16 +46,21 @@
     // Reading is paused: checks the connection at intervals, unless that is scheduled already.
     void on_input_paused();
     // Checks the connection now. If the client has disconnected, has on_client_disconnected() called by the
-    // next Deadlines::run_due(). After a FIN the client counts as connected only if it has acknowledged a
-    // recent probe; without one, sends a probe.
+    // next Deadlines::run_due(). After a FIN, or behind input that may hide one, the client counts as
+    // connected only if it has acknowledged a recent probe; without one, sends a probe.
     traffic::ClientPresence client_presence();
     void stop() { check_.clear(); }
 
 private:
-    bool has_fin() const;
-    // Does nothing while a response is being streamed.
+    // Output that a client acknowledges only if it was connected at `sent_at` or later.
+    struct Probe {
+        std::uint64_t position;  // the output begins after this many bytes
+        Time sent_at;
+    };
+
+    bool may_have_disconnected() const;
     void send_probe();
-    bool probe_is_acknowledged() const;
+    void check_probe();
     void schedule_check(Micros delay);
     void check();
 
@@ -60,8 +68,8 @@
     DisconnectDetectorOwner& owner_;
     net::Connection* connection_;
     Deadline check_;
-    bool probe_is_outstanding_ = false;
-    Time probe_sent_at_ = 0;               // of the last probe; 0 if none was sent
+    std::optional<Probe> probe_;  // the outstanding one
+    bool has_sent_probe_ = false;
     std::optional<Time> last_present_at_;  // when the last acknowledged probe was sent
 };
 
--- a/src/net/transport/connection.cpp
+++ b/src/net/transport/connection.cpp
@@ -226,11 +226,10 @@
     return age <= kKernelTickUs ? 0 : age;
 }
 
-std::optional<bool> Connection::is_output_acknowledged() const {
-    if (unwritten_bytes() > 0) return false;
+std::optional<std::uint64_t> Connection::acknowledged_bytes() const {
     int unacknowledged_bytes = 0;
     if (ioctl(bufferevent_getfd(bev_.get()), SIOCOUTQ, &unacknowledged_bytes) != 0) return std::nullopt;
-    return unacknowledged_bytes == 0;
+    return sent_bytes() - static_cast<std::uint64_t>(unacknowledged_bytes);
 }
 
 void Connection::acknowledge_now() {
@@ -238,13 +237,13 @@
     setsockopt(bufferevent_getfd(bev_.get()), IPPROTO_TCP, TCP_QUICKACK, &enabled, sizeof enabled);
 }
 
-bool Connection::peer_has_closed() const {
-    pollfd request{bufferevent_getfd(bev_.get()), POLLRDHUP, 0};
+bool Connection::has_pending_input() const {
+    pollfd request{bufferevent_getfd(bev_.get()), POLLIN | POLLRDHUP, 0};
     int ready = 0;
     do {
         ready = poll(&request, 1, 0);
     } while (ready < 0 && errno == EINTR);
-    return ready > 0 && (request.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    return ready > 0;
 }
 
 }  // namespace sloestack::net
--- a/src/net/transport/connection.h
+++ b/src/net/transport/connection.h
@@ -91,14 +91,15 @@
     // read; 0 if that is within the resolution of the kernel's clock, std::nullopt if the kernel does not
     // tell.
     std::optional<Micros> input_age() const;
-    // Returns whether the peer's kernel has acknowledged all written bytes, which it does only while the
+    // Returns how many of the written bytes the peer's kernel has acknowledged, which it does only while the
     // socket is open there; std::nullopt if the kernel does not tell.
-    std::optional<bool> is_output_acknowledged() const;
+    std::optional<std::uint64_t> acknowledged_bytes() const;
     // Has the kernel acknowledge the bytes received so far at once. It would delay that by up to 40 ms,
     // during which the kernel of a peer without TCP_NODELAY holds back the next small write.
     void acknowledge_now();
-    // Returns true if the peer has sent a FIN or a RST, even if unread bytes precede it in the socket buffer.
-    bool peer_has_closed() const;
+    // Returns true if anything is pending on the socket: data, a FIN or an error. While data is pending, the
+    // peer may have closed the connection: if the receive buffer is full, a FIN cannot arrive behind it.
+    bool has_pending_input() const;
 
 private:
     struct Free {
--- a/tests/integration/shutdown_test.cpp
+++ b/tests/integration/shutdown_test.cpp
@@ -77,7 +77,11 @@
     std::string requests;
     for (int i = 0; i < count; ++i) requests += proxy.make_request("keyed_write", kLongDeadline);
     proxy.client.send(requests);
-    proxy.run_until([&] { return !proxy.queries.empty(); });
+    // Behind input in the kernel, the client's presence is verified first, which takes some milliseconds.
+    proxy.run_until([&] {
+        proxy.clock.advance(1'000);
+        return !proxy.queries.empty();
+    });
     raise(SIGTERM);
 }
 
--- a/tests/net/transport_test.cpp
+++ b/tests/net/transport_test.cpp
@@ -2,9 +2,8 @@
 #include <gtest/gtest.h>
 
 #include <memory>
-#include <vector>
-
 #include <utility>
+#include <vector>
 
 #include "transport/byte_account.h"
 #include "transport/descriptor_quota.h"
--- a/tests/process/disconnected_client_test.cpp
+++ b/tests/process/disconnected_client_test.cpp
@@ -13,6 +13,7 @@
 
 constexpr int kDescriptors = 64;
 constexpr Micros kSettleTime = 300 * kMillisecond;
+constexpr Micros kDeadline = 2'000 * kMillisecond;
 constexpr Micros kDeadlineSlack = 150 * kMillisecond;
 
 ProcessOptions few_descriptors() {
@@ -97,6 +98,47 @@
     EXPECT_TRUE(has_error(client, "57014"));
 }
 
+// The client's FIN could not arrive behind large unread queries, and a read behind the first response was
+// forwarded long after the client had closed.
+TEST(DisconnectedClient, PipelinedReadIsNotForwardedIfUnreadQueriesHideTheClientsFin) {
+    constexpr int kRounds = 20;
+    constexpr int kLargeWrites = 6;
+    constexpr std::size_t kLargeWrite = std::size_t{128} * 1024;
+    ProxyProcess proxy;
+    proxy.open_idle_endpoint_connections();
+    proxy.endpoints_hang = true;
+    for (int round = 0; round < kRounds; ++round) {
+        const auto number = std::to_string(round);
+        auto client = proxy.connect_and_request("write" + number, kDeadline, "keyed_write");
+        auto queries = integration::request_message("read" + number, "read", kDeadline);
+        for (int i = 0; i < kLargeWrites; ++i)
+            queries += integration::write_message("large" + number, "keyed_write", kDeadline, kLargeWrite);
+        client.send_part(queries);
+        ASSERT_TRUE(proxy.run_until([&] { return proxy.arrival_count("write" + number) == 1; }, kDeadline));
+        client.read();  // a close with unread input would reset the connection at once
+        client.close();
+        proxy.run_for(150 * kMillisecond);
+        proxy.respond_to("write" + number);
+        proxy.run_for(50 * kMillisecond);
+        EXPECT_EQ(proxy.arrival_count("read" + number), 0) << round;
+    }
+}
+
+// A client that is still connected is served, although a FIN of it could not arrive.
+TEST(DisconnectedClient, PipelinedWriteBeforeUnreadQueriesIsForwardedIfTheClientStays) {
+    ProxyProcess proxy;
+    proxy.open_idle_endpoint_connections();
+    auto client = proxy.connect_and_request("read", kDeadline);
+    std::string queries = integration::request_message("write", "keyed_write", kDeadline);
+    for (int i = 0; i < 6; ++i)
+        queries += integration::write_message("large" + std::to_string(i), "keyed_write", kDeadline, 100'000);
+    const auto all_served = [&] {
+        queries.erase(0, client.send_part(queries));
+        return values(client).size() == 8;
+    };
+    EXPECT_TRUE(proxy.run_until(all_served, kDeadline));
+}
+
 // A client that has only shut down its sending side still waits for its response.
 TEST(DisconnectedClient, RequestInTheAcceptQueueOfAHalfClosedConnectionIsServed) {
     ProxyProcess proxy(few_descriptors());
