Let every statement over 8 KiB take its memory from the common budget

A process was killed for memory while hundreds of clients sent statements of 10 to 60 KB: those up to 72 KiB were buffered on each connection, copied into the request and again for each attempt, with no limit for all of them together.

A client's connection now buffers 8 KiB. A larger statement is collected within the budget, holds its reservation until its request has ended, and is sent to endpoints without a copy. Messages of the extended protocol, which are not supported, may have 8 KiB.

--- a/src/downstream/sessions/client_framer.cpp
+++ b/src/downstream/sessions/client_framer.cpp
@@ -19,7 +19,7 @@
         case 'E':
         case 'C':
         case 'F':
-            return pgwire::kMaxBufferedMessageBytes;
+            return kMaxBufferedMessageBytes;
         case 'S':
         case 'H':
         case 'X':
@@ -61,7 +61,7 @@
 
 std::optional<std::size_t> ClientFramer::large_statement_size() const {
     const auto size = pgwire::next_message_size(connection_->peek(pgwire::kMessageHeaderBytes), max_size_of);
-    if (!size || *size <= pgwire::kMaxBufferedMessageBytes) return std::nullopt;
+    if (!size || *size <= kMaxBufferedMessageBytes) return std::nullopt;
     return size;
 }
 
@@ -78,18 +78,19 @@
 
 void ClientFramer::begin_large_statement(std::size_t size) {
     connection_->consume(pgwire::kMessageHeaderBytes);
-    partial_statement_ = PartialStatement{{{}, std::move(reservation_)}, size - pgwire::kMessageHeaderBytes};
+    partial_statement_ =
+        PartialStatement{{{}, std::move(reservation_)}, size, size - pgwire::kMessageHeaderBytes};
     partial_statement_->statement.text.reserve(partial_statement_->missing_bytes);
 }
 
 void ClientFramer::skip_large_statement(std::size_t size) {
     stop_waiting_for_memory();
     connection_->consume(pgwire::kMessageHeaderBytes);
-    partial_statement_ = PartialStatement{{{}, nullptr, true}, size - pgwire::kMessageHeaderBytes};
+    partial_statement_ = PartialStatement{{{}, nullptr, true}, size, size - pgwire::kMessageHeaderBytes};
 }
 
 std::optional<LargeStatement> ClientFramer::read_large_statement() {
-    auto& [statement_read, missing_bytes] = *partial_statement_;
+    auto& [statement_read, size, missing_bytes] = *partial_statement_;
     const auto consumed_before = connection_->consumed_bytes();
     if (statement_read.is_skipped)
         connection_->consume(missing_bytes);
--- a/src/downstream/sessions/client_framer.h
+++ b/src/downstream/sessions/client_framer.h
@@ -1,6 +1,6 @@
 // Splits a client's input into messages and determines when the last byte of each arrived. Statements larger
-// than pgwire::kMaxBufferedMessageBytes are collected outside the connection's buffer, within a memory budget
-// that all clients share.
+// than kMaxBufferedMessageBytes are collected outside the connection's buffer, within a memory budget that
+// all clients share.
 #pragma once
 
 #include <memory>
@@ -15,10 +15,14 @@
 
 namespace sloestack::downstream {
 
+// A message up to this size is buffered whole before it is parsed. Hundreds of clients may send such messages
+// at the same time.
+constexpr std::size_t kMaxBufferedMessageBytes = std::size_t{8} * 1024;
+
 // Limits of a connection's unread input: before the start-up packet is read; between requests, for one whole
 // message or a part of a large one; and while a request is open.
 constexpr std::size_t kMaxUnreadStartupBytes = pgwire::kMaxStartupPacketBytes + 1024;
-constexpr std::size_t kMaxUnreadBytes = pgwire::kMaxBufferedMessageBytes + 1024;
+constexpr std::size_t kMaxUnreadBytes = kMaxBufferedMessageBytes + 1024;
 constexpr std::size_t kMaxUnreadBehindRequestBytes = std::size_t{8} * 1024;
 
 struct LargeStatement {
@@ -65,6 +69,8 @@
     // Starts to discard a large statement of `size` bytes, for which no memory is needed.
     void skip_large_statement(std::size_t size);
     bool in_large_statement() const { return partial_statement_.has_value(); }
+    // Returns the size in bytes of the large statement that is being collected or discarded, 0 if none is.
+    std::size_t partial_statement_size() const { return partial_statement_ ? partial_statement_->size : 0; }
     // Consumes the part of the statement that has arrived. Returns the statement when it is complete.
     std::optional<LargeStatement> read_large_statement();
     // Returns when the last byte of the large statement read last arrived.
@@ -78,6 +84,7 @@
 private:
     struct PartialStatement {
         LargeStatement statement;
+        std::size_t size;
         std::size_t missing_bytes;
     };
 
--- a/src/downstream/sessions/client_session.cpp
+++ b/src/downstream/sessions/client_session.cpp
@@ -8,8 +8,6 @@
 namespace {
 
 constexpr std::size_t kMaxUnwrittenBytes = pgwire::kMaxBufferedMessageBytes;  // beyond it no input is read
-// Unread bytes that a session may keep buffered while the sessions together exceed their limit.
-constexpr std::size_t kUnreadBytesUnderPressure = std::size_t{16} * 1024;
 constexpr int kMaxMessagesPerIteration = 16;  // so that no client monopolises the event loop
 // Clients have been seen to pipeline up to nine queries. The limit is lower because each open query occupies
 // an upstream connection, of which there are few.
@@ -81,10 +79,6 @@
     framer_.on_bytes_received(context_.deadlines.now(), age);
     read_messages();
     if (input_is_paused()) disconnect_detector_.on_input_paused();
-    if (state_ == State::open && responses_.empty() && context_.account.is_exceeded() &&
-        connection_->unread_bytes() > kUnreadBytesUnderPressure)
-        fail_session(metrics::SessionEnd::protocol_violation, pgwire::code::kOutOfMemory,
-                     "memory limit for buffered client input exceeded");
 }
 
 // Input waits while the connection is in the accept queue or the process is stopped. Without the kernel's
@@ -236,7 +230,7 @@
     activity.has_sent_query = has_sent_query_;
     activity.waits_for_proxy = !responses_.empty() || framer_.waits_for_memory();
     activity.has_partial_message = framer_.has_partial_message();
-    activity.in_large_statement = framer_.in_large_statement();
+    activity.in_large_statement = framer_.partial_statement_size() > pgwire::kMaxBufferedMessageBytes;
     activity.unwritten_bytes = connection_->unwritten_bytes();
     activity.sent_bytes = connection_->sent_bytes();
     activity.last_read_at = framer_.last_read_at();
--- a/src/downstream/sessions/session_context.h
+++ b/src/downstream/sessions/session_context.h
@@ -27,7 +27,7 @@
     Deadlines& deadlines;
     traffic::RequestDispatcher& dispatcher;
     net::ByteAccount& account;                  // bytes buffered for all clients
-    net::MemoryBudget& large_statement_budget;  // for statements larger than pgwire::kMaxBufferedMessageBytes
+    net::MemoryBudget& large_statement_budget;  // for statements larger than kMaxBufferedMessageBytes
     const net::DescriptorQuota& client_quota;   // descriptors of connections whose requests are served
     net::DescriptorQuota& lingering_quota;      // descriptors of connections in a lingering close
     metrics::RequestMetrics& metrics;
--- a/src/downstream/sessions/session_timeouts.h
+++ b/src/downstream/sessions/session_timeouts.h
@@ -14,7 +14,7 @@
     bool has_sent_query = false;       // since the client connected
     bool waits_for_proxy = false;      // for a response, or for memory
     bool has_partial_message = false;  // a part of a message of any size has arrived
-    bool in_large_statement = false;   // a part of a large statement has been read
+    bool in_large_statement = false;   // a part of a statement has been read that may take long to arrive
     std::size_t unwritten_bytes = 0;   // written bytes that the kernel has not taken
     std::uint64_t sent_bytes = 0;      // bytes that the kernel has taken since the client connected
     Time last_read_at = 0;
--- a/src/upstream/postgres/postgres_connection.cpp
+++ b/src/upstream/postgres/postgres_connection.cpp
@@ -12,6 +12,8 @@
 // Enough for the largest buffered response, including the messages before and after its row.
 constexpr std::size_t kMaxUnreadBytes = pgwire::kMaxBufferedMessageBytes + std::size_t{32} * 1024;
 constexpr std::size_t kMaxStartupMessageBytes = std::size_t{8} * 1024;
+constexpr std::size_t kMaxCopiedStatementBytes =
+    std::size_t{8} * 1024;                      // larger ones are sent without a copy
 constexpr std::size_t kQueryOverheadBytes = 8;  // of the message around a statement, to allocate once
 constexpr const char* kHealthCheckQuery = "SHOW load";
 constexpr std::string_view kStartupMessageTypes = "RSKNEZ";
@@ -48,7 +50,7 @@
 void PostgresConnection::send_health_check() { send_text(kHealthCheckQuery); }
 
 void PostgresConnection::send_query(std::shared_ptr<const traffic::Statement> statement, Micros time_left) {
-    if (statement->text.size() <= pgwire::kMaxBufferedMessageBytes)
+    if (statement->text.size() <= kMaxCopiedStatementBytes)
         return send_text(statement->with_time_left(time_left));
     send_large_statement(statement, time_left);
 }
@@ -73,7 +75,8 @@
     connection_->write(header);
     connection_->write(text.substr(0, statement->time_left_offset), statement);
     connection_->write(digits);
-    connection_->write(std::string(text.substr(digits_end)) + '\0');
+    // With the terminating zero byte, which the string has as well.
+    connection_->write({text.data() + digits_end, text.size() - digits_end + 1}, statement);
 }
 
 void PostgresConnection::drained() {
--- a/tests/integration/emulated_peers.cpp
+++ b/tests/integration/emulated_peers.cpp
@@ -245,7 +245,7 @@
 }
 
 json EmulatedPeers::make_deploy_file(const json& settings, const std::string& listen, int descriptors,
-                                     bool endpoints_known) const {
+                                     bool endpoints_known, int memory_mb) const {
     json known = {{"revision", 1}, {"complete", true}, {"members", json::array()}};
     for (const auto& endpoint : endpoints_)
         known["members"].push_back(make_entry(endpoint.port(), "in_service"));
@@ -254,7 +254,7 @@
             {"listen", listen},
             {"discovery", "127.0.0.1:" + std::to_string(discovery_.port())},
             {"seed", "7"},
-            {"limits", {{"sockets", descriptors}, {"memory_mb", 64}}},
+            {"limits", {{"sockets", descriptors}, {"memory_mb", memory_mb}}},
             {"known", known},
             {"settings", settings}};
 }
--- a/tests/integration/emulated_peers.h
+++ b/tests/integration/emulated_peers.h
@@ -25,6 +25,7 @@
 /// Time from SIGTERM until the platform kills the process.
 constexpr Micros kKillTimeout = kRequestDeadline + 700'000;
 constexpr int kDefaultDescriptors = 256;
+constexpr int kDefaultMemoryMb = 64;
 
 /// A request class of the deploy file. The tests' classes differ only in their effect.
 struct RequestClass {
@@ -97,7 +98,8 @@
     bool long_poll_pending() const;
     /// Returns a deploy file with the addresses of the emulated peers.
     nlohmann::json make_deploy_file(const nlohmann::json& settings, const std::string& listen,
-                                    int descriptors, bool endpoints_known) const;
+                                    int descriptors, bool endpoints_known,
+                                    int memory_mb = kDefaultMemoryMb) const;
 
 private:
     static nlohmann::json make_entry(std::uint16_t port, const char* phase);
--- a/tests/process/proxy_process.cpp
+++ b/tests/process/proxy_process.cpp
@@ -62,7 +62,7 @@
     : EmulatedPeers(static_cast<const sloestack::Clock&>(*this)), port_(free_port()), folder_(make_folder()) {
     std::signal(SIGPIPE, SIG_IGN);
     std::ofstream(folder_ + "/config.json") << make_deploy_file(
-        options.settings, "127.0.0.1:" + std::to_string(port_), options.descriptors, true);
+        options.settings, "127.0.0.1:" + std::to_string(port_), options.descriptors, true, options.memory_mb);
     start(options.faults);
     CHECK(run_until([this] { return log().find("serving") != std::string::npos; }, kReadyTimeout));
     Peer first = connect();
@@ -147,6 +147,14 @@
     } while (now() < end);
 }
 
+int ProxyProcess::peak_memory_kb() const {
+    std::ifstream status("/proc/" + std::to_string(id_) + "/status");
+    const std::string name = "VmHWM:";
+    for (std::string line; std::getline(status, line);)
+        if (line.compare(0, name.size(), name) == 0) return std::stoi(line.substr(name.size()));
+    return 0;
+}
+
 std::string ProxyProcess::log() const {
     std::ostringstream text;
     text << std::ifstream(folder_ + "/log").rdbuf();
--- a/tests/process/proxy_process.h
+++ b/tests/process/proxy_process.h
@@ -23,6 +23,7 @@
 struct ProcessOptions {
     nlohmann::json settings = integration::make_settings();
     int descriptors = integration::kDefaultDescriptors;
+    int memory_mb = integration::kDefaultMemoryMb;
     /// Faults that fault_shim.cpp injects into the process's system calls, as NAME=value.
     std::vector<std::string> faults = {};
 };
@@ -66,6 +67,8 @@
     }
 
     Time now() const override { return Clock::now(); }
+    /// Returns the highest resident memory of the process so far, in KiB.
+    int peak_memory_kb() const;
     /// Returns what the process has logged so far.
     std::string log() const;
 
