Pass every value over 64 KiB on in chunks

Clients whose values have 64 to 72 KiB got none if the endpoint wrote it slowly: it was buffered whole and cut off at the deadline, although values over 64 KiB are timed by their first bytes. Rows over that size are streamed now.

--- a/src/upstream/postgres/postgres_connection.cpp
+++ b/src/upstream/postgres/postgres_connection.cpp
@@ -11,6 +11,9 @@
 
 // Enough for the largest buffered response, including the messages before and after its row.
 constexpr std::size_t kMaxUnreadBytes = pgwire::kMaxBufferedMessageBytes + std::size_t{32} * 1024;
+// A row with a larger value is passed on in chunks: its client expects the first bytes in time, not all of
+// it.
+constexpr std::size_t kMaxBufferedRowBytes = std::size_t{64} * 1024 + ResponseParser::kRowHeaderBytes;
 constexpr std::size_t kMaxStartupMessageBytes = std::size_t{8} * 1024;
 constexpr std::size_t kMaxCopiedStatementBytes =
     std::size_t{8} * 1024;                      // larger ones are sent without a copy
@@ -106,7 +109,7 @@
     const auto size = pgwire::next_message_size(connection_->peek(pgwire::kMessageHeaderBytes),
                                                 [this](char type) { return max_size_of(type); });
     if (!size) return false;
-    if (state_ == State::busy && *size > pgwire::kMaxBufferedMessageBytes) return begin_stream(*size);
+    if (state_ == State::busy && *size > kMaxBufferedRowBytes) return begin_stream(*size);
     return read_message(*size);
 }
 
--- a/tests/integration/large_value_scenarios.cpp
+++ b/tests/integration/large_value_scenarios.cpp
@@ -23,6 +23,21 @@
         o expect status:200 body:"view":{"errors":0,"ok":1,"shed":0,"tries":1})");
 }
 
+// A value of a little over 64 KiB was buffered whole, and cut off at the deadline while it was arriving.
+TEST(LargeValue, StreamsEveryValueOver64KiBBeyondItsDeadline) {
+    play({}, R"(
+        a send startup read:1,d=300
+        a expect auth_ok ready
+        m1.1 expect startup
+        m1.1 send auth_ok
+        m1.1 expect query:id=1
+        m1.1 send row_header:66000 value_bytes:30000
+        a wait 500
+        a await_bytes 30000
+        m1.1 send value_bytes:36000 command_complete
+        a expect large:66000 ready)");
+}
+
 TEST(LargeValue, ClosesTheClientIfTheEndpointClosesMidValue) {
     play(two_endpoints(), R"(
         a send startup read:1
