Let a long response that an endpoint writes slowly pause for more than 150 ms

Clients were rejected after up to nine attempts, each cut off at the first pause of 150 ms, while the endpoints were writing their values slowly. The limit finds short responses that break off. Once 2 KiB of a message have arrived, the limit between chunks of a streamed value (5 s) applies; the attempt's time-out stays.

The new scenario failed before.

--- a/src/upstream/connection_pool/connection_pool_events.cpp
+++ b/src/upstream/connection_pool/connection_pool_events.cpp
@@ -6,10 +6,11 @@
 
 using decision::Outcome;
 
-// The longest time between two parts of a response, which endpoints write at once.
+// The longest time between two parts of a short response, which endpoints write at once.
 constexpr Micros kResponsePartTimeoutUs = 150'000;
-// The longest time between two chunks of a streamed value, which may arrive slowly.
-constexpr Micros kValueChunkTimeoutUs = 5'000'000;
+// The same for a long response, which may arrive slowly. The attempt's time-out applies too, unless the
+// response is streamed.
+constexpr Micros kLongResponsePartTimeoutUs = 5'000'000;
 
 }  // namespace
 
@@ -45,7 +46,8 @@
 
 void ConnectionPool::on_response_progress(UpstreamConnection& connection) {
     if (connection.is_paused()) return connection.timeout.clear();  // waits for the client to read
-    const Micros timeout = connection.is_streaming() ? kValueChunkTimeoutUs : kResponsePartTimeoutUs;
+    const Micros timeout =
+        connection.is_receiving_long_response() ? kLongResponsePartTimeoutUs : kResponsePartTimeoutUs;
     connection.timeout.set(deadlines_, deadlines_.now() + timeout,
                            [&connection] { connection.fail_invalid_response(); });
 }
--- a/src/upstream/connection_pool/upstream_connection.h
+++ b/src/upstream/connection_pool/upstream_connection.h
@@ -60,9 +60,9 @@
     virtual void send_query(std::shared_ptr<const traffic::Statement> statement, Micros time_left) = 0;
     // Requests the endpoint's load report.
     virtual void send_health_check() = 0;
-    // Returns true if the response is a value that arrives in chunks.
-    virtual bool is_streaming() const = 0;
     virtual bool is_paused() const = 0;
+    // Returns true if a long part of the response has arrived and the rest is missing.
+    virtual bool is_receiving_long_response() const = 0;
     // Returns true if the kernel has taken the last byte of the query, so that it may have been executed.
     virtual bool may_have_executed() const = 0;
     // Fails the connection with an empty response, because the data received is invalid or incomplete.
--- a/src/upstream/postgres/postgres_connection.cpp
+++ b/src/upstream/postgres/postgres_connection.cpp
@@ -14,6 +14,8 @@
 // A row with a larger value is passed on in chunks: its client expects the first bytes in time, not all of
 // it.
 constexpr std::size_t kMaxBufferedRowBytes = std::size_t{64} * 1024 + ResponseParser::kRowHeaderBytes;
+// Responses of at least this size may arrive slowly; shorter ones are written at once.
+constexpr std::size_t kLongResponseBytes = std::size_t{2} * 1024;
 constexpr std::size_t kMaxStartupMessageBytes = std::size_t{8} * 1024;
 constexpr std::size_t kMaxCopiedStatementBytes =
     std::size_t{8} * 1024;                      // larger ones are sent without a copy
@@ -180,6 +182,10 @@
     return true;
 }
 
+bool PostgresConnection::is_receiving_long_response() const {
+    return is_streaming_ || (state_ == State::busy && connection_->unread_bytes() >= kLongResponseBytes);
+}
+
 void PostgresConnection::set_paused(bool paused) {
     if (is_paused_ == paused || state_ != State::busy) return;
     is_paused_ = paused;
--- a/src/upstream/postgres/postgres_connection.h
+++ b/src/upstream/postgres/postgres_connection.h
@@ -30,8 +30,8 @@
     }
     void send_query(std::shared_ptr<const traffic::Statement> statement, Micros time_left) override;
     void send_health_check() override;
-    bool is_streaming() const override { return is_streaming_; }
     bool is_paused() const override { return is_paused_; }
+    bool is_receiving_long_response() const override;
     void set_paused(bool paused) override;
     bool may_have_executed() const override {
         return state_ == State::busy && connection_->unwritten_bytes() == 0;
--- a/tests/integration/large_value_scenarios.cpp
+++ b/tests/integration/large_value_scenarios.cpp
@@ -38,6 +38,20 @@
         a expect large:66000 ready)");
 }
 
+// A response that an endpoint wrote slowly was cut off at its first pause of 150 ms, again at each retry.
+TEST(LargeValue, WaitsForAResponseThatIsWrittenSlowly) {
+    play(two_endpoints(), R"(
+        a send startup read:1
+        a expect auth_ok ready
+        m1.1 expect startup
+        m1.1 send auth_ok
+        m1.1 expect query:id=1
+        m1.1 send row_header:60000 value_bytes:20000
+        a wait 400
+        m1.1 send value_bytes:40000 command_complete
+        a expect large:60000 ready)");
+}
+
 TEST(LargeValue, ClosesTheClientIfTheEndpointClosesMidValue) {
     play(two_endpoints(), R"(
         a send startup read:1
