Keep the ids of ended requests that may still be running

A request ran twice if its id came again on another connection after its client had left: the id was forgotten with the request, while the attempt was running on.

Measured: the two new process tests failed before, for reads, keyed and other writes.

--- a/src/downstream/sessions/client_session_messages.cpp
+++ b/src/downstream/sessions/client_session_messages.cpp
@@ -69,10 +69,11 @@
     if (const auto* error = std::get_if<StatementError>(&result)) return reject_statement(*error);
     auto& statement = std::get<ParsedStatement>(result);
     // An endpoint that drops duplicates cannot distinguish two requests with the same id.
-    if (!context_.open_request_ids.emplace(statement.id).second) {
+    if (!context_.request_ids.open(statement.id, context_.deadlines.now())) {
         context_.metrics.count_response(statement.request.arrival.request_class,
                                         metrics::ResponseKind::failed);
-        return respond_with_error(pgwire::code::kInvalidParameter, "a request with this id is already open");
+        return respond_with_error(pgwire::code::kInvalidParameter,
+                                  "a request with this id is open or may have run");
     }
     connection_->set_max_unread_bytes(kMaxUnreadBehindRequestBytes);
     responses_.submit(std::move(statement));
--- /dev/null
+++ b/src/downstream/sessions/request_ids.cpp
@@ -0,0 +1,37 @@
+#include "sessions/request_ids.h"
+
+namespace sloestack::downstream {
+
+std::uint64_t hash_name(std::string_view name) {
+    constexpr std::uint64_t kOffsetBasis = 14695981039346656037u;
+    constexpr std::uint64_t kPrime = 1099511628211u;
+    std::uint64_t hash = kOffsetBasis;
+    for (const unsigned char byte : name) hash = (hash ^ byte) * kPrime;
+    return hash ? hash : 1;
+}
+
+bool RequestIds::open(std::string_view id, Time now) {
+    forget_expired(now);
+    return entries_.try_emplace(hash_name(id), Entry{true, 0}).second;
+}
+
+void RequestIds::retain(std::string_view id, Time now) {
+    forget_expired(now);
+    const auto hash = hash_name(id);
+    const Time until = now + kRetentionUs;
+    entries_[hash] = {false, until};
+    retained_.push_back({hash, until});
+}
+
+void RequestIds::forget_expired(Time now) {
+    while (!retained_.empty() && (retained_.front().until <= now || retained_.size() > kMaxRetained)) {
+        const auto [hash, until] = retained_.front();
+        retained_.pop_front();
+        const auto found = entries_.find(hash);
+        // The id may have been opened or retained again since.
+        if (found != entries_.end() && !found->second.is_open && found->second.retained_until == until)
+            entries_.erase(found);
+    }
+}
+
+}  // namespace sloestack::downstream
--- a/src/downstream/sessions/response_writer.cpp
+++ b/src/downstream/sessions/response_writer.cpp
@@ -95,18 +95,19 @@
         return on_failed(query);
     }
     context_.metrics.count_response(query.request_class, ResponseKind::failed);
-    detach_request(query);
+    detach_request(query, RequestEnd::abandoned);
     owner_.response_incomplete();
 }
 
 void ResponseWriter::on_rejected(Query& query, Micros retry_after) {
     context_.metrics.count_response(query.request_class, ResponseKind::rejected);
-    complete(query, rejection_response(retry_after));
+    complete(query, rejection_response(retry_after), RequestEnd::not_executed);
 }
 
 void ResponseWriter::on_failed(Query& query) {
     context_.metrics.count_response(query.request_class, ResponseKind::failed);
-    complete(query, error_response(pgwire::code::kSystemError, "no endpoint responded in time"));
+    complete(query, error_response(pgwire::code::kSystemError, "no endpoint responded in time"),
+             RequestEnd::abandoned);
 }
 
 traffic::ClientPresence ResponseWriter::client_presence(const Query& query) {
@@ -122,8 +123,8 @@
     return presence;
 }
 
-void ResponseWriter::complete(Query& query, std::string bytes) {
-    detach_request(query);
+void ResponseWriter::complete(Query& query, std::string bytes, RequestEnd end) {
+    detach_request(query, end);
     query.source = nullptr;
     if (!is_first(query)) return buffer_response(query, std::move(bytes));
     connection_->write(bytes);
@@ -157,15 +158,28 @@
     return std::exchange(query.buffered_response, {});
 }
 
-traffic::RequestId ResponseWriter::detach_request(Query& query) {
-    if (!query.id.empty()) context_.open_request_ids.erase(query.id);
+traffic::RequestId ResponseWriter::detach_request(Query& query, RequestEnd end) {
+    if (!query.id.empty()) {
+        if (may_execute_again(query, end))
+            context_.request_ids.close(query.id);
+        else
+            context_.request_ids.retain(query.id, context_.deadlines.now());
+    }
     query.id.clear();
     return std::exchange(query.request, 0);
 }
 
+// Only reads may overlap, and a read whose response is complete is not running.
+bool ResponseWriter::may_execute_again(const Query& query, RequestEnd end) const {
+    if (end == RequestEnd::not_executed) return true;
+    const auto index = static_cast<std::size_t>(query.request_class);
+    return end == RequestEnd::responded && context_.class_may_overlap[index];
+}
+
 void ResponseWriter::cancel_request(Query& query) {
     query.source = nullptr;
-    if (const auto request = detach_request(query)) context_.dispatcher.cancel_request(request);
+    if (const auto request = detach_request(query, RequestEnd::abandoned))
+        context_.dispatcher.cancel_request(request);
 }
 
 }  // namespace sloestack::downstream
--- a/src/downstream/sessions/response_writer.h
+++ b/src/downstream/sessions/response_writer.h
@@ -90,6 +90,13 @@
         traffic::ResponseSource* source = nullptr;  // of a streamed response
     };
 
+    // How a request has ended, which decides whether its id may be used again.
+    enum class RequestEnd {
+        not_executed,  // it was rejected
+        responded,     // no attempt of it is running any more, unless it failed
+        abandoned,     // an attempt of it may be running
+    };
+
     void on_value(Query& query, const traffic::ResultValue& value);
     void on_value_started(Query& query, const traffic::ResultValue& head, std::size_t size,
                           traffic::ResponseSource& source);
@@ -103,12 +110,13 @@
     bool is_first(const Query& query) const { return queries_.front().get() == &query; }
     // Completes the query's response with `bytes`. Writes it and destroys the query if it is the first one,
     // otherwise buffers it.
-    void complete(Query& query, std::string bytes);
+    void complete(Query& query, std::string bytes, RequestEnd end = RequestEnd::responded);
     void continue_with_next();
     void buffer_response(Query& query, std::string bytes);
     std::string take_buffered_response(Query& query);
     // Detaches the query from its request. Returns the request's id, or 0 if it was detached before.
-    traffic::RequestId detach_request(Query& query);
+    traffic::RequestId detach_request(Query& query, RequestEnd end);
+    bool may_execute_again(const Query& query, RequestEnd end) const;
     void cancel_request(Query& query);
 
     SessionContext& context_;
--- a/src/downstream/sessions/session_context.h
+++ b/src/downstream/sessions/session_context.h
@@ -4,7 +4,6 @@
 #include <functional>
 #include <limits>
 #include <string>
-#include <unordered_set>
 #include <vector>
 
 #include "deadlines/deadlines.h"
@@ -12,6 +11,7 @@
 #include "metrics/metrics.h"
 #include "metrics/session_metrics.h"
 #include "sessions/cancel_keys.h"
+#include "sessions/request_ids.h"
 #include "traffic/request.h"
 #include "transport/connection.h"
 #include "transport/descriptor_quota.h"
@@ -42,7 +42,7 @@
     bool close_after_response = false;  // set during a stop: sessions close after their next response
     // The time by which any lingering close ends.
     Time linger_deadline = std::numeric_limits<Time>::max();
-    std::unordered_set<std::string> open_request_ids = {};  // ids of requests that have no response yet
+    RequestIds request_ids = {};
     metrics::SessionMetrics session_metrics = {};
     log::RateLimit dropped_request_lines{kMaxDroppedRequestLines, kDroppedRequestLineIntervalUs};
 };
--- a/src/downstream/sessions/statement_reader.cpp
+++ b/src/downstream/sessions/statement_reader.cpp
@@ -3,20 +3,9 @@
 #include <algorithm>
 
 #include "pgwire/statement.h"
+#include "sessions/request_ids.h"
 
 namespace sloestack::downstream {
-namespace {
-
-// Hashes the name of a session to its id with 64-bit FNV-1a. Never returns 0, which means no session.
-std::uint64_t session_id_of(std::string_view name) {
-    constexpr std::uint64_t kOffsetBasis = 14695981039346656037u;
-    constexpr std::uint64_t kPrime = 1099511628211u;
-    std::uint64_t hash = kOffsetBasis;
-    for (const unsigned char byte : name) hash = (hash ^ byte) * kPrime;
-    return hash ? hash : 1;
-}
-
-}  // namespace
 
 std::variant<ParsedStatement, StatementError> StatementReader::read(std::string text,
                                                                     std::shared_ptr<void> memory,
@@ -46,7 +35,7 @@
     arrival.deadline = received_at + tags.time_left_ms * kMicrosPerMillisecond;
     if (arrival.deadline <= now) return StatementError{Kind::deadline_exceeded, request_class};
     arrival.is_retry = tags.is_retry;
-    if (context_.uses_sessions) arrival.session = session_id_of(tags.first_literal);
+    if (context_.uses_sessions) arrival.session = hash_name(tags.first_literal);
     if (tags.after_ms && *tags.after_ms > 0)
         arrival.last_write_age_us = std::max<Micros>(1, now - *tags.after_ms * kMicrosPerMillisecond);
     parsed.id = tags.id;
--- a/tests/process/disconnected_client_test.cpp
+++ b/tests/process/disconnected_client_test.cpp
@@ -139,6 +139,34 @@
     EXPECT_TRUE(proxy.run_until(all_served, kDeadline));
 }
 
+// A request whose client has left may still be running: an id that came again was executed a second time.
+TEST(DisconnectedClient, IdThatComesAgainAfterItsClientLeftIsNotExecutedTwice) {
+    for (const char* request_class : {"read", "keyed_write", "plain_write"}) {
+        ProxyProcess proxy;
+        proxy.open_idle_endpoint_connections();
+        proxy.endpoints_hang = true;
+        auto client = proxy.connect_and_request("twice", kDeadline, request_class);
+        ASSERT_TRUE(proxy.run_until([&] { return proxy.arrival_count("twice") == 1; }, kDeadline));
+        client.reset();
+        proxy.run_for(50 * kMillisecond);
+        auto again = proxy.connect_and_request("twice", kDeadline, request_class);
+        EXPECT_TRUE(proxy.run_until([&] { return has_error(again, "22023"); }, kDeadline)) << request_class;
+        EXPECT_EQ(proxy.arrival_count("twice"), 1) << request_class;
+    }
+}
+
+// The same after a response: only a read may be executed again.
+TEST(DisconnectedClient, IdOfAnExecutedWriteIsNotExecutedTwice) {
+    ProxyProcess proxy;
+    proxy.open_idle_endpoint_connections();
+    for (int round = 0; round < 2; ++round) {
+        auto client = proxy.connect_and_request("twice", kDeadline, "plain_write");
+        const auto has_end = [&] { return has_row(client) || has_error(client, "22023"); };
+        EXPECT_TRUE(proxy.run_until(has_end, kDeadline));
+    }
+    EXPECT_EQ(proxy.arrival_count("twice"), 1);
+}
+
 // A client that has only shut down its sending side still waits for its response.
 TEST(DisconnectedClient, RequestInTheAcceptQueueOfAHalfClosedConnectionIsServed) {
     ProxyProcess proxy(few_descriptors());
