Report the ids of requests between the processes of a hot restart

A request ran twice if its id came again at the other process of an upgrade, because each process knew its own ids only. Each process now tells the other the ids that it knows when they meet, and every id that it opens from then on. A process of an earlier version gets no such message.

The new state test covers the reports.

--- a/src/app/server/server.cpp
+++ b/src/app/server/server.cpp
@@ -88,6 +88,9 @@
     client_listener_->forward_cancel_requests_to([this](const downstream::CancelKey& key) {
         if (hot_restart_) hot_restart_->send_cancel_request({key.process, key.secret});
     });
+    client_listener_->report_request_ids_to([this](std::uint64_t hash) {
+        if (hot_restart_) hot_restart_->send_request_id(hash);
+    });
     if (config.admin_address)
         admin_server_ = std::make_unique<admin::AdminServer>(loop_, deadlines_, *config.admin_address,
                                                              static_cast<admin::AdminHandler&>(*this));
--- a/src/app/server/server.h
+++ b/src/app/server/server.h
@@ -81,6 +81,8 @@
     void on_cancel_request(const hot_restart::CancelRequest& request) override {
         client_listener_->cancel({request.process, request.secret});
     }
+    std::vector<std::uint64_t> request_ids() const override { return client_listener_->request_ids(); }
+    void on_request_id(std::uint64_t hash) override { client_listener_->on_request_id(hash); }
     void on_handover_complete() override;
 
     net::Loop loop_;
--- a/src/downstream/sessions/client_listener.h
+++ b/src/downstream/sessions/client_listener.h
@@ -55,6 +55,12 @@
     void forward_cancel_requests_to(std::function<void(const CancelKey&)> receiver) {
         context_.forward_cancel_request = std::move(receiver);
     }
+    // Sets the receiver of the id, as a hash, of each request that is opened.
+    void report_request_ids_to(std::function<void(std::uint64_t)> receiver) {
+        context_.report_request_id = std::move(receiver);
+    }
+    std::vector<std::uint64_t> request_ids() const { return context_.request_ids.hashes(); }
+    void on_request_id(std::uint64_t hash) { context_.request_ids.retain_hash(hash, deadlines_.now()); }
     metrics::SessionMetrics& session_metrics() { return context_.session_metrics; }
 
 private:
--- a/src/downstream/sessions/client_session_messages.cpp
+++ b/src/downstream/sessions/client_session_messages.cpp
@@ -75,6 +75,7 @@
         return respond_with_error(pgwire::code::kInvalidParameter,
                                   "a request with this id is open or may have run");
     }
+    context_.report_request_id(hash_name(statement.id));
     connection_->set_max_unread_bytes(kMaxUnreadBehindRequestBytes);
     responses_.submit(std::move(statement));
 }
--- a/src/downstream/sessions/request_ids.cpp
+++ b/src/downstream/sessions/request_ids.cpp
@@ -15,11 +15,24 @@
     return entries_.try_emplace(hash_name(id), Entry{true, 0}).second;
 }
 
+std::vector<std::uint64_t> RequestIds::hashes() const {
+    std::vector<std::uint64_t> out;
+    out.reserve(entries_.size());
+    for (const auto& [hash, entry] : entries_) out.push_back(hash);
+    return out;
+}
+
 void RequestIds::retain(std::string_view id, Time now) {
+    entries_.erase(hash_name(id));
+    retain_hash(hash_name(id), now);
+}
+
+void RequestIds::retain_hash(std::uint64_t hash, Time now) {
     forget_expired(now);
-    const auto hash = hash_name(id);
     const Time until = now + kRetentionUs;
-    entries_[hash] = {false, until};
+    auto& entry = entries_[hash];
+    if (entry.is_open) return;
+    entry.retained_until = until;
     retained_.push_back({hash, until});
 }
 
--- a/src/downstream/sessions/request_ids.h
+++ b/src/downstream/sessions/request_ids.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "deadlines/clock.h"
 
@@ -25,6 +26,10 @@
 
     // Returns false if a request with this id is open or may still be executing.
     bool open(std::string_view id, Time now);
+    // A request with this id may be executing at another process. Does nothing if one is open here.
+    void retain_hash(std::uint64_t hash, Time now);
+    // Returns the hashes of all known ids.
+    std::vector<std::uint64_t> hashes() const;
     // The request has ended, and its id may be used again at once.
     void close(std::string_view id) { entries_.erase(hash_name(id)); }
     // The request has ended, and its id must not be used again for a while.
--- a/src/downstream/sessions/session_context.h
+++ b/src/downstream/sessions/session_context.h
@@ -39,6 +39,8 @@
     CancelKeys cancel_keys{0};
     // Called for a CancelRequest whose key belongs to no session here, but perhaps to one of another process.
     std::function<void(const CancelKey&)> forward_cancel_request = [](const CancelKey&) {};
+    // Called for the id of each request that is opened.
+    std::function<void(std::uint64_t)> report_request_id = [](std::uint64_t) {};
     bool close_after_response = false;  // set during a stop: sessions close after their next response
     // The time by which any lingering close ends.
     Time linger_deadline = std::numeric_limits<Time>::max();
--- a/src/state/hot_restart/hot_restart.cpp
+++ b/src/state/hot_restart/hot_restart.cpp
@@ -21,6 +21,7 @@
 constexpr Micros kConnectRetryIntervalUs = 10'000;
 constexpr Micros kTakeoverTimeUs = 50'000;  // for an older process to notice that its successor has ended
 constexpr Micros kPathCheckIntervalUs = 100'000;
+constexpr std::ptrdiff_t kMaxIdsInReport = 2'000;  // a line has at most kMaxLineBytes
 
 const char* log_subject(Role role) { return role == Role::successor ? "successor" : "predecessor"; }
 
@@ -58,7 +59,7 @@
 }
 
 void HotRestart::request_handover(std::unique_ptr<PeerConnection> predecessor) {
-    predecessor->send(HandshakeRequest{true});
+    predecessor->send(HandshakeRequest{true, false, true});
     peers_.push_back(std::move(predecessor));
     report_process_count();
     update_session_write_reports();
@@ -119,7 +120,7 @@
     if (!newer) return;
     log::line("successor", "joined");
     newer->join(deadlines_.now());
-    newer->send(HandshakeRequest{true, true});
+    newer->send(HandshakeRequest{true, true, true});
     send_exclusions(*newer);
     peers_.push_back(std::move(newer));
     report_process_count();
@@ -130,6 +131,17 @@
     for (const auto& endpoint : handler_.excluded_endpoints()) peer.send(ExclusionUpdate{true, endpoint, 0});
 }
 
+// Sends at least one report, which tells the peer that this process understands them.
+void HotRestart::send_request_ids(PeerConnection& peer) {
+    const auto hashes = handler_.request_ids();
+    auto next = hashes.begin();
+    do {
+        const auto count = std::min(kMaxIdsInReport, hashes.end() - next);
+        peer.send(RequestIdReport{{next, next + count}});
+        next += count;
+    } while (next != hashes.end());
+}
+
 std::unique_ptr<PeerConnection> HotRestart::open_peer(evutil_socket_t fd, Role role) {
     auto peer = std::make_unique<PeerConnection>(loop_, fd, role, static_cast<PeerEvents&>(*this));
     return peer->is_open() ? std::move(peer) : nullptr;
@@ -176,6 +188,10 @@
     log::line(log_subject(peer.role()), "connected");
     peer.join(deadlines_.now());
     if (request.knows_session_messages) peer.set_knows_session_messages();
+    if (request.knows_request_ids) {
+        peer.set_knows_request_ids();
+        send_request_ids(peer);
+    }
     report_process_count();
     update_session_write_reports();
     send_exclusions(peer);
@@ -219,6 +235,13 @@
     handler_.on_cancel_request(request);
 }
 
+void HotRestart::handle(PeerConnection& peer, const RequestIdReport& report) {
+    for (const auto hash : report.hashes) handler_.on_request_id(hash);
+    if (peer.knows_request_ids()) return;
+    peer.set_knows_request_ids();
+    send_request_ids(peer);
+}
+
 // Completes the handshake once this process is within its share of the limits, so that the successor can use
 // its own share in full.
 void HotRestart::complete_handshake_within_share(PeerConnection& successor) {
@@ -266,6 +289,11 @@
         if (peer->is_joined() && peer->knows_session_messages()) peer->send(message);
 }
 
+void HotRestart::send_request_id(std::uint64_t hash) {
+    for (const auto& peer : peers_)
+        if (peer->is_joined() && peer->knows_request_ids()) peer->send(RequestIdReport{{hash}});
+}
+
 void HotRestart::receive_now() {
     std::vector<PeerConnection*> peers;  // a peer that disconnects is erased from peers_ and destroyed later
     for (const auto& peer : peers_) peers.push_back(peer.get());
--- a/src/state/hot_restart/hot_restart.h
+++ b/src/state/hot_restart/hot_restart.h
@@ -42,6 +42,10 @@
     virtual bool is_within_share() const = 0;
     // Called for a CancelRequest that a client has sent to another process.
     virtual void on_cancel_request(const CancelRequest& request) = 0;
+    // Returns the hashes of the ids of all requests that may be executing.
+    virtual std::vector<std::uint64_t> request_ids() const = 0;
+    // Called for the id of a request that may be executing at another process.
+    virtual void on_request_id(std::uint64_t hash) = 0;
     // Called once, when the predecessor's state has been received or there is no predecessor to wait for. The
     // process may serve from then on.
     virtual void on_handover_complete() = 0;
@@ -69,6 +73,8 @@
     void send_session_write(const decision::SessionWrite& write) { send_about_sessions(write); }
     // Passes a CancelRequest on to all other processes.
     void send_cancel_request(const CancelRequest& request) { send_about_sessions(request); }
+    // Reports the id of a request that has been opened to all other processes.
+    void send_request_id(std::uint64_t hash);
     // Handles the messages that have arrived by now. Must be called after clients' input has been read and
     // before it is acted on, so that a session's read finds the writes acknowledged before it was sent.
     void receive_now();
@@ -90,6 +96,7 @@
     void handle(PeerConnection& peer, const SessionWriteStatusRequest& request);
     void handle(PeerConnection& peer, const decision::SessionWrite& write);
     void handle(PeerConnection& peer, const CancelRequest& request);
+    void handle(PeerConnection& peer, const RequestIdReport& report);
 
     void connect_to_predecessor(Time started_at);
     void request_handover(std::unique_ptr<PeerConnection> predecessor);
@@ -101,6 +108,7 @@
     void accept_later();
     void join_newer_process(evutil_socket_t fd);
     void send_exclusions(PeerConnection& peer);
+    void send_request_ids(PeerConnection& peer);
     // Takes ownership of `fd`. Returns null if no connection could be created for it.
     std::unique_ptr<PeerConnection> open_peer(evutil_socket_t fd, PeerConnection::Role role);
     void on_accepted(evutil_socket_t fd);
--- a/src/state/hot_restart/hot_restart_codec.cpp
+++ b/src/state/hot_restart/hot_restart_codec.cpp
@@ -23,6 +23,9 @@
 constexpr const char* kProcessKey = "process";
 constexpr const char* kSecretKey = "secret";
 constexpr const char* kKnowsSessionMessagesKey = "sessions";
+constexpr const char* kRequestIdReport = "requests";
+constexpr const char* kKnowsRequestIdsKey = "requests";
+constexpr const char* kIdsKey = "ids";
 constexpr const char* kOlderKey = "older";
 constexpr const char* kCompleteKey = "complete";
 constexpr const char* kReplicaGroupKey = "cell";
@@ -34,6 +37,7 @@
         json out = {{kTypeKey, kHandshakeRequest}};
         if (request.knows_session_messages) out[kKnowsSessionMessagesKey] = true;
         if (request.is_older) out[kOlderKey] = true;
+        if (request.knows_request_ids) out[kKnowsRequestIdsKey] = true;
         return out;
     }
     json operator()(const HandshakeComplete&) const { return {{kTypeKey, kHandshakeComplete}}; }
@@ -60,6 +64,9 @@
     json operator()(const CancelRequest& request) const {
         return {{kTypeKey, kCancelRequest}, {kProcessKey, request.process}, {kSecretKey, request.secret}};
     }
+    json operator()(const RequestIdReport& report) const {
+        return {{kTypeKey, kRequestIdReport}, {kIdsKey, report.hashes}};
+    }
 };
 
 std::optional<std::string> text_at(const json& object, const char* key) {
@@ -121,6 +128,17 @@
     return CancelRequest{*process, *secret};
 }
 
+std::optional<Message> decode_request_id_report(const json& object) {
+    const auto ids = object.find(kIdsKey);
+    if (ids == object.end() || !ids->is_array()) return std::nullopt;
+    RequestIdReport report;
+    for (const auto& id : *ids) {
+        if (!id.is_number_unsigned()) return std::nullopt;
+        report.hashes.push_back(id.get<std::uint64_t>());
+    }
+    return report;
+}
+
 }  // namespace
 
 std::string encode(const Message& message) { return std::visit(ToJson{}, message).dump() + "\n"; }
@@ -132,7 +150,8 @@
     if (!type) return std::nullopt;
     if (*type == kHandshakeRequest)
         return HandshakeRequest{flag_at(object, kKnowsSessionMessagesKey).value_or(false),
-                                flag_at(object, kOlderKey).value_or(false)};
+                                flag_at(object, kOlderKey).value_or(false),
+                                flag_at(object, kKnowsRequestIdsKey).value_or(false)};
     if (*type == kHandshakeComplete) return HandshakeComplete{};
     if (*type == kExclude) return decode_exclusion_update(object, true);
     if (*type == kInclude) return decode_exclusion_update(object, false);
@@ -141,6 +160,7 @@
     if (*type == kSessionWriteStatusRequest) return SessionWriteStatusRequest{};
     if (*type == kSessionWrite) return decode_session_write(object);
     if (*type == kCancelRequest) return decode_cancel_request(object);
+    if (*type == kRequestIdReport) return decode_request_id_report(object);
     return std::nullopt;
 }
 
--- a/src/state/hot_restart/hot_restart_codec.h
+++ b/src/state/hot_restart/hot_restart_codec.h
@@ -17,6 +17,12 @@
 //   either -> the other        {"do":"wrote","cell":G,"session":S,"position":P}, before the response
 //   either -> the other        {"do":"session_writes?"}, the response is session_writes
 //   either -> the other        {"do":"cancel","process":P,"secret":S}, if the sender has no such session
+//
+// Likewise, the ids of requests are sent only to a process that knows the message: the successor tells that
+// by "requests":true in the hello, the predecessor by its first requests.
+//
+//   either -> the other        {"do":"requests","ids":[I,...]}, hashes; at first all, then each that is
+//   opened
 #pragma once
 
 #include <cstddef>
@@ -25,6 +31,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "sloestack/router.h"
 
@@ -34,6 +41,7 @@
 struct HandshakeRequest {
     bool knows_session_messages = false;  // the sender understands the messages about sessions
     bool is_older = false;                // the sender serves already, and has lost its successor
+    bool knows_request_ids = false;       // the sender understands RequestIdReport
 };
 
 // The predecessor has sent its state; the successor may serve.
@@ -66,9 +74,14 @@
     std::uint32_t secret = 0;
 };
 
+// Requests with these ids may be executing at the sender.
+struct RequestIdReport {
+    std::vector<std::uint64_t> hashes;
+};
+
 using Message =
     std::variant<HandshakeRequest, HandshakeComplete, ExclusionUpdate, Acknowledgement, SessionWriteStatus,
-                 SessionWriteStatusRequest, decision::SessionWrite, CancelRequest>;
+                 SessionWriteStatusRequest, decision::SessionWrite, CancelRequest, RequestIdReport>;
 
 // The longest line that is read; a peer that sends a longer one is disconnected.
 constexpr std::size_t kMaxLineBytes = std::size_t{64} * 1024;
--- a/src/state/hot_restart/peer_connection.h
+++ b/src/state/hot_restart/peer_connection.h
@@ -47,6 +47,9 @@
     // Returns whether the peer understands the messages about sessions.
     bool knows_session_messages() const { return knows_session_messages_; }
     void set_knows_session_messages() { knows_session_messages_ = true; }
+    // Returns whether the peer understands reports of request ids.
+    bool knows_request_ids() const { return knows_request_ids_; }
+    void set_knows_request_ids() { knows_request_ids_ = true; }
     // Returns whether the peer reports all session writes: its last SessionWriteStatus.
     bool reports_session_writes() const { return reports_session_writes_; }
     void set_reports_session_writes(bool reports) { reports_session_writes_ = reports; }
@@ -73,6 +76,7 @@
     Time joined_at_ = 0;
     Deadline handshake_retry_;
     bool knows_session_messages_ = false;
+    bool knows_request_ids_ = false;
     bool reports_session_writes_ = false;
     std::optional<bool> sent_status_;
     std::unique_ptr<net::Connection> connection_;
--- a/tests/state/hot_restart_test.cpp
+++ b/tests/state/hot_restart_test.cpp
@@ -45,6 +45,9 @@
         cancelled.push_back(request.secret);
     }
 
+    std::vector<std::uint64_t> request_ids() const override { return open_ids; }
+    void on_request_id(std::uint64_t hash) override { reported_ids.insert(hash); }
+
     void run_once() {
         loop_.run_once(0);
         deadlines_.run_due();
@@ -55,6 +58,8 @@
     std::set<std::string> excluded;
     std::vector<decision::SessionWrite> writes;
     std::vector<std::uint32_t> cancelled;
+    std::vector<std::uint64_t> open_ids;
+    std::set<std::uint64_t> reported_ids;
     int process_count = 1;
     bool is_serving = false;
     bool reports_are_complete = true;
@@ -261,6 +266,20 @@
     EXPECT_EQ(new_process.excluded.count("m"), 1U);
 }
 
+// An id that was open at one process could be executed at the other one, too.
+TEST_F(HotRestartTest, TheOtherProcessLearnsOpenRequestIds) {
+    constexpr std::uint64_t kOpenIds = 5'000;
+    auto& old_process = start();
+    for (std::uint64_t id = 1; id <= kOpenIds; ++id) old_process.open_ids.push_back(id);
+    auto& new_process = start();
+    ASSERT_TRUE(run_until([&] { return new_process.is_serving; }));
+    ASSERT_TRUE(run_until([&] { return new_process.reported_ids.size() == kOpenIds; }));
+    new_process.hot_restart().send_request_id(kOpenIds + 1);
+    old_process.hot_restart().send_request_id(kOpenIds + 2);
+    ASSERT_TRUE(run_until([&] { return new_process.reported_ids.count(kOpenIds + 2) > 0; }));
+    ASSERT_TRUE(run_until([&] { return old_process.reported_ids.count(kOpenIds + 1) > 0; }));
+}
+
 // A CancelRequest may be accepted by the process that does not have the session.
 TEST_F(HotRestartTest, ACancelRequestReachesTheOtherProcess) {
     auto& old_process = start();
