Bound the session tokens and remove the deadlines of ended requests

Beyond 20,000 tokens the older half is erased as if passed. Deadlines of ended requests are removed once they are the greater part. The test for tokens failed with the call taken out.

--- a/src/decision/read_consistency.cpp
+++ b/src/decision/read_consistency.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <vector>
 
 #include "replication_lag.h"
 
@@ -38,6 +39,7 @@
     if (!write.session) return;
     auto& token = session_tokens_[{write.replica_group, write.session}];
     token = std::max(token, write.position);
+    if (session_tokens_.size() > kMaxSessionTokens) erase_oldest_tokens();
 }
 
 void ReadConsistency::set_reports_complete(bool are_complete) {
@@ -69,14 +71,27 @@
 
 void ReadConsistency::erase_passed_tokens(std::map<int, Time>& oldest_positions) {
     for (auto token = session_tokens_.begin(); token != session_tokens_.end();) {
-        auto& group = state_.group(token->first.first);
-        if (token->second >= oldest_positions[group.id]) {
-            ++token;
-            continue;
-        }
-        group.default_session_position = std::max(group.default_session_position, token->second);
-        token = session_tokens_.erase(token);
+        const bool is_passed = token->second < oldest_positions[token->first.first];
+        token = is_passed ? erase_token(token) : std::next(token);
     }
 }
 
+ReadConsistency::SessionTokens::iterator ReadConsistency::erase_token(SessionTokens::iterator token) {
+    auto& group = state_.group(token->first.first);
+    group.default_session_position = std::max(group.default_session_position, token->second);
+    return session_tokens_.erase(token);
+}
+
+// Tokens accumulate while an endpoint of their group does not advance. Erases the older half of them:
+// sessions without a token then require the newest position erased.
+void ReadConsistency::erase_oldest_tokens() {
+    std::vector<Time> positions;
+    positions.reserve(session_tokens_.size());
+    for (const auto& [session, position] : session_tokens_) positions.push_back(position);
+    const auto median = positions.begin() + static_cast<std::ptrdiff_t>(positions.size() / 2);
+    std::nth_element(positions.begin(), median, positions.end());
+    for (auto token = session_tokens_.begin(); token != session_tokens_.end();)
+        token = token->second <= *median ? erase_token(token) : std::next(token);
+}
+
 }  // namespace sloestack::decision
--- a/src/decision/read_consistency.h
+++ b/src/decision/read_consistency.h
@@ -2,6 +2,7 @@
 // class and, for session reads, by the session token, the position of the session's last write.
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <utility>
 
@@ -11,6 +12,9 @@
 
 class ReadConsistency {
 public:
+    // Beyond this number, the tokens with the oldest positions are erased as if they had been passed.
+    static constexpr std::size_t kMaxSessionTokens = 20'000;
+
     explicit ReadConsistency(RouterState& state) : state_(state) {}
 
     // Returns the position that a request arriving now requires; 0 if any position is sufficient.
@@ -31,10 +35,16 @@
     // by replica group. The newest erased token becomes the minimum position of sessions without a token,
     // because an endpoint that joins later may start from an older copy.
     void erase_passed_tokens(std::map<int, Time>& oldest_positions);
+    std::size_t session_token_count() const { return session_tokens_.size(); }
 
 private:
+    using SessionTokens = std::map<std::pair<int, SessionId>, Time>;  // by replica group and session
+
+    SessionTokens::iterator erase_token(SessionTokens::iterator token);
+    void erase_oldest_tokens();
+
     RouterState& state_;
-    std::map<std::pair<int, SessionId>, Time> session_tokens_;  // by replica group and session
+    SessionTokens session_tokens_;
     bool reports_are_complete_ = true;
     Time reports_complete_since_ = 0;  // earlier writes may be unknown
 };
--- a/src/decision/router.cpp
+++ b/src/decision/router.cpp
@@ -3,9 +3,9 @@
 #include "sloestack/router.h"
 
 #include <algorithm>
-#include <queue>
 #include <utility>
 
+#include "deadline_queue.h"
 #include "discovery_poll_schedule.h"
 #include "endpoint_registry.h"
 #include "load_balancer.h"
@@ -94,7 +94,7 @@
         }
         auto& request = state_.requests[arrival.request] = Request{arrival, state_.now};
         request.required_position = read_consistency_.required_position(request);
-        deadlines_.emplace(arrival.deadline, arrival.request);
+        deadlines_.add(arrival.deadline, arrival.request);
         retry_budget_.on_arrival();
         auto& group = state_.group(arrival.replica_group);
         state_.startup.on_request(group.id);
@@ -233,6 +233,8 @@
             primary_tracker_.repeat_health_checks(group, is_primary_confirmed(group), actions);
         }
         give_up_due_before(state_.now + 2 * kTickIntervalUs, actions);
+        deadlines_.remove_ended(state_.requests.size(),
+                                [this](RequestId id) { return state_.find_request(id) != nullptr; });
         if (state_.now - last_cleanup_at_ <= kCleanupIntervalUs) return;
         last_cleanup_at_ = state_.now;
         auto oldest_positions = registry_.erase_removed();
@@ -247,10 +249,8 @@
     // Gives up requests without attempts in flight whose deadline is not after `limit`: two ticks ahead of
     // time, and at the latest in the first step after the deadline, however late the tick is.
     void give_up_due_before(Time limit, Actions& actions) {
-        while (!deadlines_.empty() && deadlines_.top().first <= limit) {
-            const auto id = deadlines_.top().second;
-            deadlines_.pop();
-            auto* request = state_.find_request(id);
+        while (const auto id = deadlines_.pop_due(limit)) {
+            auto* request = state_.find_request(*id);
             if (!request || request->open_attempts > 0) continue;
             const auto reason =
                 request->is_queued ? request->blocked_reason : RejectionReason::deadline_exceeded;
@@ -274,8 +274,7 @@
     EndpointRegistry registry_;
     ZoneFailover zone_failover_;
 
-    using Deadline = std::pair<Time, RequestId>;
-    std::priority_queue<Deadline, std::vector<Deadline>, std::greater<>> deadlines_;
+    DeadlineQueue deadlines_;
     Time last_cleanup_at_ = 0;
 };
 
--- a/tests/decision/read_consistency_test.cpp
+++ b/tests/decision/read_consistency_test.cpp
@@ -1,8 +1,11 @@
 // Tests of ReadConsistency with a whole router: which endpoints serve a read.
+#include "read_consistency.h"
+
 #include <gtest/gtest.h>
 
 #include <set>
 
+#include "deadline_queue.h"
 #include "router_fixture.h"
 
 namespace sloestack::decision::test {
@@ -56,6 +59,37 @@
     }
 }
 
+// Tokens grew without end under ever new sessions while one endpoint of the group did not advance.
+TEST(ReadConsistency, BoundsItsSessionTokensAndStillRequiresTheirWrites) {
+    constexpr SessionId kSessions = 50'000;
+    RouterState state(default_settings(), 1);
+    ReadConsistency consistency(state);
+    constexpr Time kFirstPosition = 1'000'000;
+    for (SessionId session = 1; session <= kSessions; ++session)
+        consistency.record_write(SessionWrite{0, session, kFirstPosition + static_cast<Time>(session)});
+    EXPECT_LE(consistency.session_token_count(), ReadConsistency::kMaxSessionTokens);
+    for (SessionId session = 1; session <= kSessions; ++session) {
+        Request request;
+        request.arrival.request_class = kSessionRead;
+        request.arrival.session = session;
+        EXPECT_GE(consistency.required_position(request), kFirstPosition + static_cast<Time>(session));
+    }
+}
+
+// Deadlines of ended requests stayed until they had passed, which may take hours.
+TEST(DeadlineQueue, RemovesDeadlinesOfEndedRequests) {
+    constexpr RequestId kRequests = 10'000;
+    constexpr Time kDeadline = 1'000;
+    DeadlineQueue queue;
+    for (RequestId id = 1; id <= kRequests; ++id) queue.add(kDeadline + static_cast<Time>(id % 7), id);
+    queue.remove_ended(2, [](RequestId id) { return id == 3 || id == 9'999; });
+    EXPECT_EQ(queue.size(), 2u);
+    EXPECT_FALSE(queue.pop_due(kDeadline + 2));
+    EXPECT_EQ(queue.pop_due(kDeadline + 6), 3u);
+    EXPECT_EQ(queue.pop_due(kDeadline + 6), 9'999u);
+    EXPECT_FALSE(queue.pop_due(kDeadline + 6));
+}
+
 TEST(ReadConsistency, RequiresTheSessionsOwnWrite) {
     RouterFixture fixture(default_settings());
     fixture.establish_primary(1);
