--- a/src/wire/pgwire/build.h
+++ b/src/wire/pgwire/build.h
@@ -18,7 +18,6 @@
 constexpr std::string_view kProtocolViolation = "08P01";
 constexpr std::string_view kNotSupported = "0A000";
 constexpr std::string_view kInvalidParameter = "22023";
-constexpr std::string_view kOutOfMemory = "53200";
 constexpr std::string_view kAdminShutdown = "57P01";
 constexpr std::string_view kQueryCanceled = "57014";
 constexpr std::string_view kSystemError = "58000";
