Give up a queued keyed write at the end of its idempotency window

Callers saw: a keyed write that might have run and waited for a primary was answered shortly before its deadline, long after it could last be sent again (window 2.0 s, answer at 2.86 s of 3).

Cause: without a primary the time in the queue was limited by the deadline only; the window was looked at when an endpoint was chosen.

Change: a request that is queued after an attempt that may have run is added to the queue of deadlines with the end of its window, wherever it stands in its queue.

--- a/src/decision/pending_queue.cpp
+++ b/src/decision/pending_queue.cpp
@@ -40,6 +40,9 @@
     if (request.queued_until <= state_.now || is_queue_full(group, request, has_primary))
         return lifecycle_.give_up(request, request.blocked_reason, actions);
     request.is_queued = true;
+    // Once its idempotency window is over, a request that may have run cannot be forwarded again.
+    if (const auto window_left_us = retry_policy_.idempotency_window_left_us(request, state_.now))
+        deadlines_.add(state_.now + *window_left_us, request.id());
     group.queues[request.class_index()].push_back(request.id());
 }
 
--- a/src/decision/pending_queue.h
+++ b/src/decision/pending_queue.h
@@ -2,21 +2,26 @@
 // in order of priority weight per work. A request that has waited too long is given up.
 #pragma once
 
+#include "deadline_queue.h"
 #include "load_balancer.h"
 #include "primary_tracker.h"
 #include "request_lifecycle.h"
+#include "retry_policy.h"
 #include "router_state.h"
 
 namespace sloestack::decision {
 
 class PendingQueue {
 public:
-    PendingQueue(RouterState& state, LoadBalancer& load_balancer, const PrimaryTracker& primary_tracker,
-                 RequestLifecycle& lifecycle)
+    // `deadlines` receives the times at which requests are to be given up at once.
+    PendingQueue(RouterState& state, LoadBalancer& load_balancer, const RetryPolicy& retry_policy,
+                 const PrimaryTracker& primary_tracker, RequestLifecycle& lifecycle, DeadlineQueue& deadlines)
         : state_(state),
           load_balancer_(load_balancer),
+          retry_policy_(retry_policy),
           primary_tracker_(primary_tracker),
-          lifecycle_(lifecycle) {}
+          lifecycle_(lifecycle),
+          deadlines_(deadlines) {}
 
     // Forwards the request, queues it, or gives it up if it could not be served in time. The request may be
     // destroyed.
@@ -33,8 +38,10 @@
 
     RouterState& state_;
     LoadBalancer& load_balancer_;
+    const RetryPolicy& retry_policy_;
     const PrimaryTracker& primary_tracker_;
     RequestLifecycle& lifecycle_;
+    DeadlineQueue& deadlines_;
 };
 
 }  // namespace sloestack::decision
--- a/src/decision/router.cpp
+++ b/src/decision/router.cpp
@@ -57,7 +57,7 @@
           load_balancer_(state_, retry_policy_, slow_start_, read_consistency_, primary_tracker_,
                          outlier_detection_),
           lifecycle_(state_, retry_policy_, slow_start_),
-          pending_queue_(state_, load_balancer_, primary_tracker_, lifecycle_),
+          pending_queue_(state_, load_balancer_, retry_policy_, primary_tracker_, lifecycle_, deadlines_),
           registry_(state_, primary_tracker_, subset_key(state_.settings, seed)),
           zone_failover_(state_, load_balancer_, lifecycle_, retry_budget_) {}
 
@@ -246,8 +246,9 @@
         return primary && read_consistency_.trusts_primary(*primary);
     }
 
-    // Gives up requests without attempts in flight whose deadline is not after `limit`: two ticks ahead of
-    // time, and at the latest in the first step after the deadline, however late the tick is.
+    // Gives up requests without attempts in flight whose deadline, or last time to be forwarded, is not after
+    // `limit`: two ticks ahead of time, and at the latest in the first step after it, however late the tick
+    // is.
     void give_up_due_before(Time limit, Actions& actions) {
         while (const auto id = deadlines_.pop_due(limit)) {
             auto* request = state_.find_request(*id);
@@ -270,11 +271,11 @@
     OutlierDetection outlier_detection_;
     LoadBalancer load_balancer_;
     RequestLifecycle lifecycle_;
+    DeadlineQueue deadlines_;
     PendingQueue pending_queue_;
     EndpointRegistry registry_;
     ZoneFailover zone_failover_;
 
-    DeadlineQueue deadlines_;
     Time last_cleanup_at_ = 0;
 };
 
--- a/tests/decision/retry_policy_test.cpp
+++ b/tests/decision/retry_policy_test.cpp
@@ -2,6 +2,8 @@
 // failed.
 #include <gtest/gtest.h>
 
+#include <vector>
+
 #include "router_fixture.h"
 
 namespace sloestack::decision::test {
@@ -45,6 +47,36 @@
     EXPECT_TRUE(fixture.find<Fail>(1));
 }
 
+// A keyed write that waited for a primary was failed long after its last time to be sent again.
+TEST(RetryPolicy, FailsAQueuedKeyedWriteAtTheEndOfItsIdempotencyWindow) {
+    constexpr Micros kWindow = 500'000;
+    constexpr Micros kMargin = 30'000;
+    constexpr RequestId kWrites = 8;
+    RouterFixture fixture(default_settings(Idempotency::keyed));
+    fixture.establish_primary(2);
+    for (RequestId id = 1; id <= kWrites; ++id) fixture.arrive(id, kWrite);
+    fixture.step(1000);
+    const Time forwarded_at = fixture.now;
+    for (RequestId id = 1; id <= kWrites; ++id)
+        fixture.attempt_ended(id, 2, Outcome::reset, Role::unknown, 0);
+    fixture.step(100'000);
+    ASSERT_TRUE(fixture.logged("primary lost"));
+    std::vector<RequestId> waiting;
+    for (RequestId id = 1; id <= kWrites; ++id)
+        if (!fixture.forwarded_to(id)) waiting.push_back(id);
+    ASSERT_GE(waiting.size(), 3u);
+    std::size_t failed = 0;
+    while (fixture.now < forwarded_at + kWindow) {
+        fixture.fire_timer();
+        for (const auto id : waiting) {
+            if (!fixture.find<Fail>(id)) continue;
+            ++failed;
+            EXPECT_GE(fixture.now, forwarded_at + kWindow - kMargin);
+        }
+    }
+    EXPECT_EQ(failed, waiting.size());
+}
+
 TEST(RetryPolicy, RejectsASecondErrorWithTheMaximumRetryAfter) {
     RouterFixture fixture(default_settings());
     fixture.establish_primary(1);
