Complete a long statement only while its request may be executed

Cause: the window, the client and the deadline were checked before the first byte only. What the kernel had taken was delivered later, even after close() or the process's end; statements of up to 2 MB fit into its send buffer whole.

Change: the last 1 KiB of a statement over 8 KiB is held back until everything before it has been sent, the checks are made again right before it is handed to the kernel, and it states the time that is left then. An attempt with a window also waits for an estimate by which the endpoint will have read it in time. At the end of the window the attempt ends as expired. A connection closed before its query is acknowledged is reset. Short statements reach the kernel right after their check. Forward::begin_within_us is now deliver_within_us and counts from the step's time.

--- a/bench/decision_trace/trace.cpp
+++ b/bench/decision_trace/trace.cpp
@@ -31,7 +31,7 @@
     }
     Line operator()(const Forward& a) const {
         return line("forward", a.request, a.endpoint, to_long_long(a.timeout_us),
-                    to_long_long(a.begin_within_us.value_or(-1)));
+                    to_long_long(a.deliver_within_us.value_or(-1)));
     }
     Line operator()(const Reject& a) const {
         return line(std::string("reject ") + reason_word(a.reason), a.request,
--- a/include/sloestack/router.h
+++ b/include/sloestack/router.h
@@ -150,7 +150,7 @@
     connect_failed,  // no connection could be established
     reset,           // the connection broke
     cancelled,       // by the caller, for instance after a Cancel action
-    expired,         // not sent: its time-out passed or its client disconnected before
+    expired,         // not sent, or not to its end: its time was over or its client disconnected before
     not_eligible     // the endpoint declined it: it lags too far behind or is not the primary
 };
 constexpr std::size_t kOutcomeCount = static_cast<std::size_t>(Outcome::not_eligible) + 1;
@@ -220,9 +220,9 @@
     RequestId request = 0;
     EndpointId endpoint = 0;
     Micros timeout_us = 0;  // 0: until the request's deadline
-    // Set if an earlier attempt of a keyed request may have run: unless the first byte is written within this
-    // time, the attempt must not be sent.
-    std::optional<Micros> begin_within_us = {};
+    // Set if an earlier attempt of a keyed request may have run: the endpoint must have the whole request
+    // within this time, or must not get it at all.
+    std::optional<Micros> deliver_within_us = {};
 };
 
 // Why a request was rejected or failed.
--- a/src/core/dispatch_loop/actions.cpp
+++ b/src/core/dispatch_loop/actions.cpp
@@ -10,7 +10,6 @@
     auto* request = requests_.find(forward.request);
     if (!SLOESTACK_INVARIANT(request, "the decision module forwards only open requests")) return;
     if (!request->sink) return expire_attempt(forward, *request);
-    const Time now = deadlines_.now();
     traffic::Attempt attempt;
     attempt.request = forward.request;
     attempt.number = request->attempt_count++;
@@ -18,8 +17,9 @@
     attempt.endpoint = forward.endpoint;
     attempt.statement = request->statement;
     attempt.timeout_at = request->deadline;
-    if (forward.timeout_us > 0) attempt.timeout_at = std::min(attempt.timeout_at, now + forward.timeout_us);
-    if (forward.begin_within_us) attempt.start_by = now + *forward.begin_within_us;
+    if (forward.timeout_us > 0)
+        attempt.timeout_at = std::min(attempt.timeout_at, step_began_at_ + forward.timeout_us);
+    if (forward.deliver_within_us) attempt.deliver_by = step_began_at_ + *forward.deliver_within_us;
     targets_->attempt_sender.send(attempt);
 }
 
--- a/src/core/dispatch_loop/dispatch_loop.cpp
+++ b/src/core/dispatch_loop/dispatch_loop.cpp
@@ -45,7 +45,8 @@
     // them: they are erased only after the actions have been carried out.
     const auto closed = requests_.take_closed();
     actions_.clear();
-    router_.step(deadlines_.now(), step_events_, actions_);
+    step_began_at_ = deadlines_.now();
+    router_.step(step_began_at_, step_events_, actions_);
     for (const auto& action : actions_) std::visit([this](const auto& each) { execute(each); }, action);
     requests_.erase(closed);
 }
--- a/src/core/dispatch_loop/dispatch_loop.h
+++ b/src/core/dispatch_loop/dispatch_loop.h
@@ -110,6 +110,7 @@
     std::vector<bool> records_session_writes_;
     std::vector<decision::Event> queued_events_;
     std::vector<decision::Event> peer_events_;  // about other processes; handled before the queued events
+    Time step_began_at_ = 0;                    // durations in the actions of a step count from here
     bool is_step_due_ = false;                  // even without an event
     std::vector<decision::Event> step_events_;  // of the current step; a data member to reuse its memory
     std::vector<decision::Action> actions_;
--- a/src/core/traffic/attempt.h
+++ b/src/core/traffic/attempt.h
@@ -21,8 +21,9 @@
     EndpointId endpoint = 0;
     std::shared_ptr<const Statement> statement;
     Time timeout_at = 0;
-    // If its first byte has not been written by then, the attempt ends without being sent.
-    std::optional<Time> start_by = {};
+    // The endpoint must not read the statement's last byte later. An attempt that cannot arrive by then ends
+    // before the statement is complete.
+    std::optional<Time> deliver_by = {};
 };
 
 // Whether an attempt of a request may begin.
@@ -54,7 +55,8 @@
     // `value` is present if and only if the outcome is ok.
     virtual void on_attempt_ended(const decision::AttemptEnded& end, std::optional<ResultValue> value) = 0;
     virtual void on_health_check_ended(const decision::HealthCheckEnded& end) = 0;
-    // Called before an attempt's first byte is written. Cancels the request if its client has disconnected.
+    // Called before an attempt's first byte is written, and before the end of a long statement. Cancels the
+    // request if its client has disconnected.
     virtual RequestState request_state(RequestId request) = 0;
 
 protected:
--- a/src/net/transport/connection.cpp
+++ b/src/net/transport/connection.cpp
@@ -144,16 +144,22 @@
     written_bytes_ += bytes.size();
     bufferevent_write(bev_.get(), bytes.data(), bytes.size());
 }
+std::size_t Connection::send_now(std::string_view bytes) {
+    if (unwritten_bytes() > 0) return 0;
+    const auto sent =
+        send(bufferevent_getfd(bev_.get()), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    const auto sent_size = static_cast<std::size_t>(std::max<ssize_t>(sent, 0));
+    written_bytes_ += sent_size;
+    return sent_size;
+}
 void Connection::write_now(std::string_view bytes) {
-    if (unwritten_bytes() == 0) {
-        const auto sent =
-            send(bufferevent_getfd(bev_.get()), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
-        const auto sent_size = static_cast<std::size_t>(std::max<ssize_t>(sent, 0));
-        written_bytes_ += sent_size;
-        bytes.remove_prefix(sent_size);
-    }
+    bytes.remove_prefix(send_now(bytes));
     if (!bytes.empty()) write(bytes);
 }
+void Connection::write_now(std::string_view bytes, std::shared_ptr<const void> owner) {
+    bytes.remove_prefix(send_now(bytes));
+    if (!bytes.empty()) write(bytes, std::move(owner));
+}
 void Connection::receive_now() {
     auto* input = bufferevent_get_input(bev_.get());
     const auto unread_before = unread_bytes();
@@ -232,6 +238,15 @@
     return sent_bytes() - static_cast<std::uint64_t>(unacknowledged_bytes);
 }
 
+std::optional<SendProgress> Connection::send_progress() const {
+    return read_send_progress(bufferevent_getfd(bev_.get()));
+}
+
+void Connection::reset_on_close() {
+    const linger at_once{1, 0};
+    setsockopt(bufferevent_getfd(bev_.get()), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+}
+
 void Connection::acknowledge_now() {
     const int enabled = 1;  // until the kernel next chooses to delay acknowledgements
     setsockopt(bufferevent_getfd(bev_.get()), IPPROTO_TCP, TCP_QUICKACK, &enabled, sizeof enabled);
--- a/src/net/transport/connection.h
+++ b/src/net/transport/connection.h
@@ -12,6 +12,7 @@
 
 #include "transport/byte_account.h"
 #include "transport/loop.h"
+#include "transport/send_progress.h"
 
 namespace sloestack::net {
 
@@ -63,6 +64,8 @@
     void write_now(std::string_view bytes);
     // Writes without copying: `owner` keeps `bytes` alive until the kernel has taken them.
     void write(std::string_view bytes, std::shared_ptr<const void> owner);
+    // Both: hands the kernel at once what it takes now, and does not copy the rest.
+    void write_now(std::string_view bytes, std::shared_ptr<const void> owner);
     // Receives what has arrived in the kernel by now, without waiting for the event loop, and calls
     // received() if that is anything. The end of the input is left to the event loop.
     void receive_now();
@@ -94,6 +97,11 @@
     // Returns how many of the written bytes the peer's kernel has acknowledged, which it does only while the
     // socket is open there; std::nullopt if the kernel does not tell.
     std::optional<std::uint64_t> acknowledged_bytes() const;
+    // Returns how far the written bytes that the kernel has taken have got; std::nullopt if it does not tell.
+    std::optional<SendProgress> send_progress() const;
+    // Has the destructor reset the connection: the kernel discards the bytes that the peer has not
+    // acknowledged, which it would otherwise go on to deliver.
+    void reset_on_close();
     // Has the kernel acknowledge the bytes received so far at once. It would delay that by up to 40 ms,
     // during which the kernel of a peer without TCP_NODELAY holds back the next small write.
     void acknowledge_now();
@@ -102,6 +110,9 @@
     bool has_pending_input() const;
 
 private:
+    // Returns how many of the bytes the kernel has taken; 0 if earlier ones still wait.
+    std::size_t send_now(std::string_view bytes);
+
     struct Free {
         void operator()(bufferevent* b) const { bufferevent_free(b); }
     };
--- a/src/upstream/connection_pool/attempt_registry.h
+++ b/src/upstream/connection_pool/attempt_registry.h
@@ -25,7 +25,9 @@
     bool on_reused_connection = false;
     Deadline connect_timeout;
     Deadline attempt_timeout;
-    Deadline client_check;  // set while it is not known whether the client is still connected
+    Deadline client_check;      // set while it is not known whether the client is still connected
+    Deadline completion_check;  // set while its query is incomplete
+    Deadline delivery_timeout;  // set until Attempt::deliver_by
 };
 
 class AttemptRegistry {
--- a/src/upstream/connection_pool/connection_pool.cpp
+++ b/src/upstream/connection_pool/connection_pool.cpp
@@ -86,6 +86,9 @@
     attempt.endpoint = found->second.get();
     attempt.attempt_timeout.set(deadlines_, attempt.attempt.timeout_at,
                                 [this, &attempt] { abort_attempt(attempt, Outcome::timeout); });
+    if (const auto deliver_by = attempt.attempt.deliver_by)
+        attempt.delivery_timeout.set(deadlines_, *deliver_by,
+                                     [this, &attempt] { on_delivery_timeout(attempt); });
     enqueue(attempt);
 }
 
@@ -113,15 +116,7 @@
 // Sends waiting attempts on idle connections, then opens connections until as many are being established as
 // attempts still wait.
 void ConnectionPool::serve_waiting_attempts(EndpointConnections& endpoint) {
-    while (!endpoint.waiting_attempts.empty() && !endpoint.idle_connections.empty()) {
-        auto& connection = *endpoint.idle_connections.back();
-        if (!connection.is_reusable()) {  // closed by the endpoint, not yet reported
-            close(connection);
-            continue;
-        }
-        auto& attempt = *endpoint.waiting_attempts.front();
-        endpoint.waiting_attempts.pop_front();
-        if (send_on(connection, attempt)) endpoint.idle_connections.pop_back();
+    while (serve_one_waiting_attempt(endpoint)) {
     }
     while (endpoint.connecting_count < endpoint.waiting_attempts.size()) {
         if (open_connection(endpoint)) continue;
@@ -132,11 +127,26 @@
     }
 }
 
+// Returns false if no waiting attempt may use any of the idle connections.
+bool ConnectionPool::serve_one_waiting_attempt(EndpointConnections& endpoint) {
+    for (auto* attempt : endpoint.waiting_attempts) {
+        auto* connection = find_idle_connection(endpoint, *attempt);
+        if (!connection) continue;
+        if (!connection->is_reusable()) {  // closed by the endpoint, not yet reported
+            close(*connection);
+            return true;
+        }
+        endpoint.remove_waiting(*attempt);
+        if (send_on(*connection, *attempt)) endpoint.remove_idle(*connection);
+        return true;
+    }
+    return false;
+}
+
 ConnectionPool::SendPermission ConnectionPool::send_permission(const PendingAttempt& attempt) {
     using traffic::RequestState;
     if (attempt.endpoint->is_draining) return SendPermission::denied;
-    const auto& start_by = attempt.attempt.start_by;
-    if (start_by && deadlines_.now() >= *start_by) return SendPermission::denied;
+    if (!is_within_window(attempt)) return SendPermission::denied;
     if (attempt.is_health_check) return SendPermission::granted;
     const auto state = listener_.request_state(attempt.attempt.request);
     if (state == RequestState::unverified) return SendPermission::undecided;
@@ -161,7 +171,8 @@
     if (attempt.is_health_check)
         connection.send_health_check();
     else
-        connection.send_query(attempt.attempt.statement, attempt.attempt.timeout_at - deadlines_.now());
+        connection.send_query(attempt.attempt.statement, deadlines_.now(), time_left(attempt));
+    if (connection.is_query_incomplete()) try_to_complete(attempt);
     return true;
 }
 
--- a/src/upstream/connection_pool/connection_pool.h
+++ b/src/upstream/connection_pool/connection_pool.h
@@ -65,12 +65,28 @@
     void start(PendingAttempt& attempt);
     void enqueue(PendingAttempt& attempt);
     void serve_waiting_attempts(EndpointConnections& endpoint);
+    bool serve_one_waiting_attempt(EndpointConnections& endpoint);
     SendPermission send_permission(const PendingAttempt& attempt);
     void await_permission(PendingAttempt& attempt);
+    Micros time_left(const PendingAttempt& attempt) const {
+        return attempt.attempt.timeout_at - deadlines_.now();
+    }
     // Returns false if the attempt was not sent: it has ended or waits for its permission.
     bool send_on(UpstreamConnection& connection, PendingAttempt& attempt);
     void abort_attempt(PendingAttempt& attempt, decision::Outcome outcome);
 
+    // ---- connection_pool_delivery.cpp ----
+    bool is_within_window(const PendingAttempt& attempt) const;
+    // Completes the attempt's query if it may still be executed; otherwise ends the attempt, or tries again
+    // later.
+    void try_to_complete(PendingAttempt& attempt);
+    bool would_arrive_in_time(const PendingAttempt& attempt) const;
+    void schedule_completion(PendingAttempt& attempt);
+    void on_delivery_timeout(PendingAttempt& attempt);
+
+    // Returns an idle connection that the attempt may use, or null.
+    UpstreamConnection* find_idle_connection(const EndpointConnections& endpoint,
+                                             const PendingAttempt& attempt) const;
     bool open_connection(EndpointConnections& endpoint);
     bool close_one_idle_connection();
     void close_idle_connections(EndpointConnections& endpoint);
@@ -79,6 +95,7 @@
     void make_idle(EndpointConnections& endpoint, UpstreamConnection& connection);
 
     void on_connection_established(UpstreamConnection& connection) override;
+    void on_query_part_sent(UpstreamConnection& connection) override;
     void on_query_sent(UpstreamConnection& connection) override;
     bool on_value_started(UpstreamConnection& connection, const traffic::ResultValue& head,
                           std::size_t size) override;
--- a/src/upstream/connection_pool/connection_pool_events.cpp
+++ b/src/upstream/connection_pool/connection_pool_events.cpp
@@ -20,6 +20,10 @@
     make_idle(endpoint, connection);
 }
 
+void ConnectionPool::on_query_part_sent(UpstreamConnection& connection) {
+    if (auto* attempt = connections_.at(&connection).attempt) try_to_complete(*attempt);
+}
+
 void ConnectionPool::on_query_sent(UpstreamConnection& connection) {
     const auto* attempt = connections_.at(&connection).attempt;
     if (attempt && !attempt->is_health_check) metrics_.count_attempt_sent(attempt->attempt.request_class);
@@ -34,6 +38,7 @@
                                             attempt.attempt.endpoint, deadlines_.now() - attempt.started_at};
     if (!attempt.is_health_check && listener_.on_response_started(started, head, size, connection)) {
         attempt.attempt_timeout.clear();
+        attempt.delivery_timeout.clear();
         return true;
     }
     abort_attempt(attempt, Outcome::cancelled);
--- a/src/upstream/connection_pool/upstream_connection.h
+++ b/src/upstream/connection_pool/upstream_connection.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 #include "connection_pool/upstream_response.h"
@@ -22,6 +23,8 @@
 public:
     // The connection is established and idle for the first time.
     virtual void on_connection_established(UpstreamConnection& connection) = 0;
+    // The kernel has taken all of an incomplete query that has been sent.
+    virtual void on_query_part_sent(UpstreamConnection& connection) = 0;
     // The kernel has taken the last byte of the query.
     virtual void on_query_sent(UpstreamConnection& connection) = 0;
     // The response is a value too large to be buffered: `size` bytes follow in chunks. Returns false if no
@@ -56,8 +59,24 @@
     // Returns true if the connection is idle and no unexpected data, FIN or error has arrived, in the
     // kernel's buffer either.
     virtual bool is_reusable() const = 0;
-    // Sends the statement, with `time_left` in place of the time left that the client stated.
-    virtual void send_query(std::shared_ptr<const traffic::Statement> statement, Micros time_left) = 0;
+    // Returns true if a long query has been sent on the connection. The endpoint's receive buffer may have
+    // grown by it, so that it hides more unread bytes.
+    virtual bool has_sent_long_query() const = 0;
+    // Sends the statement, with `time_left` in place of the time left that the client stated. A long query
+    // stays incomplete until complete_query().
+    virtual void send_query(std::shared_ptr<const traffic::Statement> statement, Time now,
+                            Micros time_left) = 0;
+    // Returns true if the query's last bytes are held back, so that the endpoint cannot execute it.
+    virtual bool is_query_incomplete() const = 0;
+    // Of an incomplete query: whether all that has been sent has left this host's kernel.
+    virtual bool is_query_transmitted() const = 0;
+    // Of an incomplete query: returns the time by which the endpoint will have read all that has been sent;
+    // std::nullopt if that is not known yet. May send a further byte to learn it.
+    virtual std::optional<Time> estimate_read_by(Time now) = 0;
+    // Sends the last bytes of an incomplete query, with the time that is left now.
+    virtual void complete_query(Micros time_left) = 0;
+    // Returns true if the endpoint's kernel has the last byte of the query.
+    virtual bool is_query_delivered() const = 0;
     // Requests the endpoint's load report.
     virtual void send_health_check() = 0;
     virtual bool is_paused() const = 0;
@@ -67,8 +86,8 @@
     virtual bool may_have_executed() const = 0;
     // Fails the connection with an empty response, because the data received is invalid or incomplete.
     virtual void fail_invalid_response() = 0;
-    // Releases the socket and its descriptor slot at once. The object's functions may still be on the call
-    // stack.
+    // Releases the socket and its descriptor slot at once, and discards what the endpoint's kernel does not
+    // have of a query. The object's functions may still be on the call stack.
     virtual void close() = 0;
 
     // Used by the owner for the current state: connecting, waiting before reuse, idle, or receiving a
--- a/src/upstream/postgres/postgres_connection.cpp
+++ b/src/upstream/postgres/postgres_connection.cpp
@@ -1,6 +1,7 @@
 #include "postgres/postgres_connection.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "invariant/invariant.h"
 #include "pgwire/build.h"
@@ -17,8 +18,6 @@
 // Responses of at least this size may arrive slowly; shorter ones are written at once.
 constexpr std::size_t kLongResponseBytes = std::size_t{2} * 1024;
 constexpr std::size_t kMaxStartupMessageBytes = std::size_t{8} * 1024;
-constexpr std::size_t kMaxCopiedStatementBytes =
-    std::size_t{8} * 1024;                      // larger ones are sent without a copy
 constexpr std::size_t kQueryOverheadBytes = 8;  // of the message around a statement, to allocate once
 constexpr const char* kHealthCheckQuery = "SHOW load";
 constexpr std::string_view kStartupMessageTypes = "RSKNEZ";
@@ -46,6 +45,7 @@
         return false;
     state_ = State::busy;
     parser_ = ResponseParser();
+    delivery_estimator_.reset();
     response_has_started_ = false;
     is_streaming_ = false;
     is_paused_ = false;
@@ -54,38 +54,68 @@
 
 void PostgresConnection::send_health_check() { send_text(kHealthCheckQuery); }
 
-void PostgresConnection::send_query(std::shared_ptr<const traffic::Statement> statement, Micros time_left) {
-    if (statement->text.size() <= kMaxCopiedStatementBytes)
-        return send_text(statement->with_time_left(time_left));
-    send_large_statement(statement, time_left);
+void PostgresConnection::send_query(std::shared_ptr<const traffic::Statement> statement, Time now,
+                                    Micros time_left) {
+    if (statement->is_long()) return send_partially(std::move(statement), now, time_left);
+    send_text(statement->with_time_left(time_left));
 }
 
+// The kernel gets the query at once: what has been checked before may change until the next iteration.
 void PostgresConnection::send_text(const std::string& statement) {
     if (!begin_query()) return;
     std::string out;
     out.reserve(statement.size() + kQueryOverheadBytes);
     pgwire::Builder(out).query(statement);
-    connection_->write(out);
+    connection_->write_now(out);
+    report_if_sent();
 }
 
-// Writes the statement without copying it for each attempt.
-void PostgresConnection::send_large_statement(const std::shared_ptr<const traffic::Statement>& statement,
-                                              Micros time_left) {
+void PostgresConnection::send_partially(std::shared_ptr<const traffic::Statement> statement, Time now,
+                                        Micros time_left) {
     if (!begin_query()) return;
-    const std::string_view text = statement->text;
-    const auto digits = traffic::Statement::format_time_left(time_left);
-    const auto digits_end = statement->time_left_offset + statement->time_left_size;
-    std::string header;
-    pgwire::Builder(header).query_header(text.size() - statement->time_left_size + digits.size());
-    connection_->write(header);
-    connection_->write(text.substr(0, statement->time_left_offset), statement);
-    connection_->write(digits);
-    // With the terminating zero byte, which the string has as well.
-    connection_->write({text.data() + digits_end, text.size() - digits_end + 1}, statement);
+    has_sent_long_query_ = true;
+    if (const auto progress = connection_->send_progress())
+        delivery_estimator_.emplace(now, progress->peer_window);
+    partial_query_.emplace(std::move(statement), time_left);
+    partial_query_->write_start(*connection_);
+}
+
+bool PostgresConnection::is_query_transmitted() const {
+    if (connection_->unwritten_bytes() > 0) return false;
+    const auto progress = connection_->send_progress();
+    return !progress || progress->unsent_bytes == 0;
+}
+
+std::optional<Time> PostgresConnection::estimate_read_by(Time now) {
+    if (connection_->unwritten_bytes() > 0) return std::nullopt;
+    const auto progress = connection_->send_progress();
+    if (!progress || !delivery_estimator_) return now;
+    delivery_estimator_->update(now, partial_query_->written_bytes(), *progress);
+    if (delivery_estimator_->needs_newer_window()) partial_query_->write_byte(*connection_);
+    return delivery_estimator_->read_by();
+}
+
+void PostgresConnection::complete_query(Micros time_left) {
+    const auto query = std::exchange(partial_query_, std::nullopt);
+    query->write_end(*connection_, time_left);
+    report_if_sent();
+}
+
+bool PostgresConnection::is_query_delivered() const {
+    if (partial_query_ || connection_->unwritten_bytes() > 0) return false;
+    const auto progress = connection_->send_progress();
+    return !progress || progress->unacknowledged_bytes == 0;
 }
 
 void PostgresConnection::drained() {
-    if (state_ == State::busy) events_.on_query_sent(*this);
+    if (state_ != State::busy) return;
+    if (partial_query_) return events_.on_query_part_sent(*this);
+    events_.on_query_sent(*this);
+}
+
+// To be called after writing to the kernel, which does not cause drained() if it has taken everything.
+void PostgresConnection::report_if_sent() {
+    if (connection_->unwritten_bytes() == 0) events_.on_query_sent(*this);
 }
 
 // ---- Receiving ----
@@ -215,6 +245,7 @@
 }
 
 void PostgresConnection::close() {
+    if (state_ == State::busy && !is_query_delivered()) connection_->reset_on_close();
     state_ = State::broken;
     value_bytes_left_ = 0;
     timeout.clear();
--- a/src/upstream/postgres/postgres_connection.h
+++ b/src/upstream/postgres/postgres_connection.h
@@ -2,11 +2,14 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "connection_pool/upstream_connection.h"
+#include "postgres/partial_query.h"
 #include "postgres/response_parser.h"
 #include "transport/connection.h"
+#include "transport/delivery_estimator.h"
 #include "transport/descriptor_quota.h"
 
 namespace sloestack::postgres {
@@ -25,16 +28,22 @@
     bool is_established() const override { return state_ == State::idle || state_ == State::busy; }
     bool has_responded_before() const override { return has_responded_; }
     bool is_reusable() const override {
-        return state_ == State::idle && connection_->unread_bytes() == 0 &&
+        return state_ == State::idle && !partial_query_ && connection_->unread_bytes() == 0 &&
                connection_->has_nothing_to_read();
     }
-    void send_query(std::shared_ptr<const traffic::Statement> statement, Micros time_left) override;
+    bool has_sent_long_query() const override { return has_sent_long_query_; }
+    void send_query(std::shared_ptr<const traffic::Statement> statement, Time now, Micros time_left) override;
+    bool is_query_incomplete() const override { return partial_query_.has_value(); }
+    bool is_query_transmitted() const override;
+    std::optional<Time> estimate_read_by(Time now) override;
+    void complete_query(Micros time_left) override;
+    bool is_query_delivered() const override;
     void send_health_check() override;
     bool is_paused() const override { return is_paused_; }
     bool is_receiving_long_response() const override;
     void set_paused(bool paused) override;
     bool may_have_executed() const override {
-        return state_ == State::busy && connection_->unwritten_bytes() == 0;
+        return state_ == State::busy && !partial_query_ && connection_->unwritten_bytes() == 0;
     }
     void fail_invalid_response() override;
     void close() override;
@@ -51,7 +60,8 @@
     // not do that.
     bool begin_query();
     void send_text(const std::string& statement);
-    void send_large_statement(const std::shared_ptr<const traffic::Statement>& statement, Micros time_left);
+    void send_partially(std::shared_ptr<const traffic::Statement> statement, Time now, Micros time_left);
+    void report_if_sent();
     // Returns the maximum size in bytes, including the length field, of a message of this type that may
     // arrive now; 0 if none may.
     std::size_t max_size_of(char type) const;
@@ -68,6 +78,9 @@
     upstream::UpstreamConnectionEvents& events_;
     net::DescriptorSlot slot_;
     State state_ = State::connecting;
+    std::optional<PartialQuery> partial_query_;  // set until the query is complete
+    std::optional<net::DeliveryEstimator> delivery_estimator_;
+    bool has_sent_long_query_ = false;
     ResponseParser parser_;
     bool response_has_started_ = false;
     bool has_responded_ = false;
--- a/tests/integration/emulated_peers.cpp
+++ b/tests/integration/emulated_peers.cpp
@@ -236,9 +236,26 @@
         std::count_if(queries.begin(), queries.end(), [&](const auto& query) { return query.id == id; }));
 }
 
+void EmulatedPeers::set_endpoint_read_rate(std::size_t bytes_per_second) {
+    endpoint_bytes_per_second_ = bytes_per_second;
+    endpoints_read_at_ = clock_.now();
+}
+
+void EmulatedPeers::set_endpoint_receive_buffer(int bytes) {
+    for (auto& endpoint : endpoints_) endpoint.set_receive_buffer(bytes);
+}
+
+// Returns how many bytes an endpoint reads of a connection since the last call.
+std::size_t EmulatedPeers::readable_endpoint_bytes() {
+    if (endpoint_bytes_per_second_ == 0) return static_cast<std::size_t>(-1);
+    const Time since = std::exchange(endpoints_read_at_, clock_.now());
+    return static_cast<std::size_t>(endpoints_read_at_ - since) * endpoint_bytes_per_second_ / 1'000'000;
+}
+
 void EmulatedPeers::receive_from_proxy() {
+    const auto readable_bytes = readable_endpoint_bytes();
     for (std::size_t i = 0; i < endpoints_.size(); ++i) {
-        endpoints_[i].receive();
+        endpoints_[i].receive(readable_bytes);
         for (auto& peer : endpoints_[i].peers) receive_from_endpoint(static_cast<int>(i), peer);
     }
     discovery_.receive();
--- a/tests/integration/emulated_peers.h
+++ b/tests/integration/emulated_peers.h
@@ -63,6 +63,10 @@
     explicit EmulatedPeers(const sloestack::Clock& clock);
 
     // ---- endpoints ----
+    /// Has the endpoints read this many bytes a second from each connection; 0: all that has arrived.
+    void set_endpoint_read_rate(std::size_t bytes_per_second);
+    /// Sets the size of the kernel's receive buffer of connections to the endpoints that are made later.
+    void set_endpoint_receive_buffer(int bytes);
     /// Responds to all queries that have arrived.
     void respond_to_all();
     /// Responds to the query with this id, if it has arrived.
@@ -110,7 +114,11 @@
     void send_endpoint_list();
     std::map<loopback::Peer*, std::string>::iterator find_pending(const std::string& id);
 
+    std::size_t readable_endpoint_bytes();
+
     const sloestack::Clock& clock_;
+    std::size_t endpoint_bytes_per_second_ = 0;
+    Time endpoints_read_at_ = 0;
     std::vector<loopback::Listener> endpoints_{2};
     loopback::Listener discovery_;
     std::vector<nlohmann::json> entries_;
--- a/tests/integration/loopback.cpp
+++ b/tests/integration/loopback.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <utility>
@@ -24,15 +25,17 @@
     return *this;
 }
 
-void Peer::read() {
+void Peer::read(std::size_t max_bytes) {
     std::array<char, 65536> bytes;
-    while (fd_ >= 0 && !ended) {
-        const auto count = recv(fd_, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    while (fd_ >= 0 && !ended && max_bytes > 0) {
+        const auto count = recv(fd_, bytes.data(), std::min(bytes.size(), max_bytes), MSG_DONTWAIT);
         if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return;
-        if (count <= 0)
+        if (count <= 0) {
             ended = true;
-        else
-            received.append(bytes.data(), static_cast<std::size_t>(count));
+            return;
+        }
+        received.append(bytes.data(), static_cast<std::size_t>(count));
+        max_bytes -= static_cast<std::size_t>(count);
     }
 }
 
@@ -100,13 +103,17 @@
 
 Listener::~Listener() { ::close(fd_); }
 
-void Listener::receive() {
+void Listener::set_receive_buffer(int bytes) {
+    EXPECT_EQ(setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes), 0);
+}
+
+void Listener::receive(std::size_t max_bytes) {
     for (;;) {
         const int fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK);
         if (fd < 0) break;
         peers.emplace_back(fd);
     }
-    for (auto& peer : peers) peer.read();
+    for (auto& peer : peers) peer.read(max_bytes);
 }
 
 }  // namespace loopback
--- a/tests/integration/loopback.h
+++ b/tests/integration/loopback.h
@@ -33,8 +33,8 @@
     Peer& operator=(const Peer&) = delete;
     ~Peer() { close(); }
 
-    /// Appends what has arrived to `received`.
-    void read();
+    /// Appends what has arrived to `received`, up to `max_bytes` of it.
+    void read(std::size_t max_bytes = static_cast<std::size_t>(-1));
     /// Sends without blocking. Returns whether the kernel accepted all of `bytes`.
     bool send(const std::string& bytes);
     /// Sends without blocking. Returns how many bytes the kernel accepted.
@@ -68,8 +68,10 @@
     Listener& operator=(const Listener&) = delete;
     ~Listener();
 
-    /// Accepts new connections and reads from all connections.
-    void receive();
+    /// Accepts new connections and reads from all connections, up to `max_bytes` from each.
+    void receive(std::size_t max_bytes = static_cast<std::size_t>(-1));
+    /// Sets the size of the kernel's receive buffer of connections that are made later.
+    void set_receive_buffer(int bytes);
     std::uint16_t port() const { return port_; }
 
     std::list<Peer> peers;
