Keep removals when discovery moves to an address with an older list

Callers saw: after a SIGHUP to an address whose list has a lower revision, an endpoint that had been removed got requests again, until that address reported its removal.

Cause: the parser kept the drains of a higher revision, but not its removals.

Change: the start times of processes that drain and of those that were removed are kept together, and a complete list of a lower revision brings none of them back. Names that are forgotten elsewhere are forgotten here, too.

--- a/src/fleet/discovery/endpoint_list_parser.cpp
+++ b/src/fleet/discovery/endpoint_list_parser.cpp
@@ -1,6 +1,7 @@
 #include "discovery/endpoint_list_parser.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace sloestack::discovery {
 namespace {
@@ -30,41 +31,57 @@
     return listed;
 }
 
-void EndpointListParser::update_listed(const EndpointList& list) {
-    std::set<std::string> named;
+// Returns the endpoints that the list removes.
+EndpointListParser::StartTimes EndpointListParser::update_listed(const EndpointList& list) {
+    StartTimes removed;
+    StartTimes named;
     for (const auto& listed : list.endpoints) {
         if (listed.endpoint.state != EndpointState::removed) {
-            named.insert(listed.name);
+            named[listed.name] = listed.endpoint.started_at;
             continue;
         }
-        listed_.erase(listed.name);
+        const auto known = listed_.find(listed.name);
+        if (known != listed_.end()) removed.insert(listed_.extract(known));
         ids_.on_removed(listed.name);
     }
     if (list.complete) {
-        for (const auto& name : listed_)
-            if (named.count(name) == 0) ids_.on_removed(name);
+        for (const auto& [name, started_at] : listed_) {
+            if (named.count(name) > 0) continue;
+            removed.emplace(name, started_at);
+            ids_.on_removed(name);
+        }
         listed_.clear();
     }
-    listed_.merge(named);
+    for (const auto& [name, started_at] : named) listed_[name] = started_at;
+    return removed;
 }
 
-void EndpointListParser::retain_draining(EndpointList& list) {
+void EndpointListParser::retain_leaving(EndpointList& list, const StartTimes& removed) {
     const bool is_behind = list.complete && list.revision < catch_up_revision_;
-    if (list.complete && !is_behind) draining_.clear();
+    if (list.complete && !is_behind) leaving_.clear();
     for (auto& listed : list.endpoints) {
         auto& endpoint = listed.endpoint;
-        const auto known = draining_.find(listed.name);
-        const bool same_process = known != draining_.end() && known->second == endpoint.started_at;
+        const auto known = leaving_.find(listed.name);
+        const bool same_process = known != leaving_.end() && known->second == endpoint.started_at;
         if (is_behind && same_process) endpoint.state = EndpointState::draining;
         if (endpoint.state == EndpointState::draining)
-            draining_[listed.name] = endpoint.started_at;
+            leaving_[listed.name] = endpoint.started_at;
         else
-            draining_.erase(listed.name);
+            leaving_.erase(listed.name);
     }
+    for (const auto& [name, started_at] : removed) leaving_[name] = started_at;
+    forget_old_names();
     last_revision_ = list.revision;
     if (list.revision >= catch_up_revision_) catch_up_revision_ = -1;
 }
 
+// Bounds memory if endpoints are replaced under new names and no complete list arrives.
+void EndpointListParser::forget_old_names() {
+    if (leaving_.size() <= listed_.size() + EndpointIdRegistry::kMaxRetainedNames) return;
+    for (auto it = leaving_.begin(); it != leaving_.end();)
+        it = ids_.contains(it->first) ? std::next(it) : leaving_.erase(it);
+}
+
 void EndpointListParser::on_address_change() {
     catch_up_revision_ = std::max(catch_up_revision_, last_revision_);
 }
@@ -83,8 +100,8 @@
     // Discovery that has lost its state sends an empty list, which would take the whole fleet out of service.
     if (list.complete && list.endpoints.empty() && !listed_.empty())
         throw EndpointListError("discovery list: complete but without endpoints");
-    update_listed(list);
-    retain_draining(list);
+    const auto removed = update_listed(list);
+    retain_leaving(list, removed);
     return list;
 }
 
--- a/src/fleet/discovery/endpoint_list_parser.h
+++ b/src/fleet/discovery/endpoint_list_parser.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -35,8 +34,8 @@
     EndpointList parse(const nlohmann::json& json, std::optional<std::int64_t> current_revision = {});
     EndpointList parse(const std::string& text, std::optional<std::int64_t> current_revision = {});
     // Called when discovery moves to another address, whose revisions may start lower. Until they reach the
-    // last revision parsed, a complete list may add endpoints but does not end the drain of a process, which
-    // is identified by its start time.
+    // last revision parsed, a complete list may add endpoints but does not bring back a process that drains
+    // or has been removed, which is identified by its start time.
     void on_address_change();
 
     // Returns whether any list has named the endpoint. Names removed long ago are forgotten.
@@ -44,17 +43,20 @@
     std::size_t known_name_count() const { return ids_.size(); }
 
 private:
+    using StartTimes = std::map<std::string, decision::Time>;  // by endpoint name
+
     traffic::ListedEndpoint endpoint_of(const EndpointEntryDecoder& entry);
     int zone_number(const std::string& name) const;
-    void update_listed(const EndpointList& list);
-    void retain_draining(EndpointList& list);
+    StartTimes update_listed(const EndpointList& list);
+    void retain_leaving(EndpointList& list, const StartTimes& removed);
+    void forget_old_names();
 
     std::vector<std::string> zone_names_;
     EndpointIdRegistry ids_;
-    std::set<std::string> listed_;
-    std::map<std::string, decision::Time> draining_;  // start time of the draining process, by endpoint name
+    StartTimes listed_;
+    StartTimes leaving_;  // of the processes that drain or have been removed
     std::int64_t last_revision_ = -1;
-    std::int64_t catch_up_revision_ = -1;  // complete lists of a lower revision do not end a drain
+    std::int64_t catch_up_revision_ = -1;  // complete lists of a lower revision bring nothing back
 };
 
 }  // namespace sloestack::discovery
--- a/tests/fleet/discovery_watch_test.cpp
+++ b/tests/fleet/discovery_watch_test.cpp
@@ -268,13 +268,13 @@
     EXPECT_EQ(harness.failures, 0);
 }
 
-// A drain reported by the old address is kept while the list of the new address has a lower revision.
-TEST(DiscoveryWatch, KeepsADrainAfterAMoveToAnOlderList) {
+// Discovery reports `phase`, then moves to an address whose list is older and does not have that change.
+void expect_kept_after_move(const char* phase, sloestack::decision::EndpointState state) {
+    SCOPED_TRACE(phase);
     WatchHarness harness(3);
     run_until_long_poll(harness);
-    harness.respond(response(list(8, "terminating", false)));
-    ASSERT_TRUE(
-        harness.run_until([&] { return harness.state == sloestack::decision::EndpointState::draining; }));
+    harness.respond(response(list(8, phase, false)));
+    ASSERT_TRUE(harness.run_until([&] { return harness.state == state; }));
     Listener other;
     const auto send_list = [&](const std::string& list_json, const char* next) {
         other.peers.front().received.clear();
@@ -295,6 +295,16 @@
     EXPECT_EQ(harness.state, sloestack::decision::EndpointState::ready) << "a change is reported";
 }
 
+// A drain reported by the old address is kept while the list of the new address has a lower revision.
+TEST(DiscoveryWatch, KeepsADrainAfterAMoveToAnOlderList) {
+    expect_kept_after_move("terminating", sloestack::decision::EndpointState::draining);
+}
+
+// An endpoint that the old address had removed got requests again after a move to an older list.
+TEST(DiscoveryWatch, KeepsARemovalAfterAMoveToAnOlderList) {
+    expect_kept_after_move("terminated", sloestack::decision::EndpointState::removed);
+}
+
 // Discovery moves twice; the poll at the second address is still in flight at the second move.
 TEST(DiscoveryWatch, UsesTheLastAddressAfterTwoMoves) {
     WatchHarness harness(3);
