Let the last step of a stop follow the one that fails the open requests

Cause: continue_stop chose its steps by the clock alone; a step over 50 ms late closed the connections without failing their requests.

Change: the last step runs 50 ms after the step that failed the requests was carried out.

--- a/src/downstream/sessions/client_listener.cpp
+++ b/src/downstream/sessions/client_listener.cpp
@@ -233,12 +233,11 @@
     // this way from the start.
     context_.close_after_response = has_successor_ || close_all;
     const bool fail_all = stopped_for >= fail_all_after;
-    if (fail_all) {
-        try_to_stop_listening();
-        listener_.reset();
-    }
+    // The process may not have run for a while: the last step follows the one that fails the requests.
+    const bool reject_input = failed_all_at_ && now >= failed_all_at_ + kRejectInputUs;
+    if (fail_all) end_listening(now);
     for_each_session([&](ClientSession& session) {
-        if (stopped_for >= fail_all_after + kRejectInputUs)
+        if (reject_input)
             session.finish_with_error(metrics::SessionEnd::stopping, pgwire::code::kCannotConnectNow,
                                       "the proxy is stopping");
         else if (fail_all)
@@ -251,6 +250,14 @@
     continue_stop_.set(deadlines_, now + kStopIntervalUs, [this] { continue_stop(); });
 }
 
+// Open requests are failed from now on.
+void ClientListener::end_listening(Time now) {
+    try_to_stop_listening();
+    listener_.reset();
+    if (!failed_all_at_) failed_all_at_ = now;
+    context_.linger_deadline = failed_all_at_ + kLastLingerUs;
+}
+
 // Closing the socket resets the connections that are still in the kernel's accept queue. If accept() fails,
 // it stays open until the next attempt to stop listening.
 void ClientListener::try_to_stop_listening() {
--- a/src/downstream/sessions/client_listener.h
+++ b/src/downstream/sessions/client_listener.h
@@ -76,6 +76,7 @@
     void close_long_idle_sessions();
     void continue_stop();
     void try_to_stop_listening();
+    void end_listening(Time now);
     // Calls `visit` with each session until it returns false. `visit` may close the session.
     template <class Visit>
     void for_each_session(Visit visit);
@@ -103,6 +104,7 @@
     // Since when connections may have been waiting in the accept queue; 0 if it was empty when last polled.
     Time queue_waits_since_ = 0;
     Time stopping_since_ = 0;  // 0 until stop() is called
+    Time failed_all_at_ = 0;   // 0 until the stop has failed all open requests
 };
 
 }  // namespace sloestack::downstream
--- a/tests/process/proxy_process.cpp
+++ b/tests/process/proxy_process.cpp
@@ -170,6 +170,8 @@
 
 bool has_error(Peer& client, const std::string& sqlstate) { return message_count(client, 'E', sqlstate) > 0; }
 
+int error_count(Peer& client) { return message_count(client, 'E'); }
+
 std::vector<std::string> values(Peer& client) {
     std::vector<std::string> found;
     for_each_message(client, [&](const pgwire::Message& message) {
--- a/tests/process/proxy_process.h
+++ b/tests/process/proxy_process.h
@@ -88,6 +88,8 @@
 /// Returns whether the client has received a response with a row, or an error with this SQLSTATE.
 bool has_row(loopback::Peer& client);
 bool has_error(loopback::Peer& client, const std::string& sqlstate);
+/// Returns how many errors the client has received.
+int error_count(loopback::Peer& client);
 /// Returns the values of the rows that the client has received.
 std::vector<std::string> values(loopback::Peer& client);
 /// Returns whether the client has received a ReadyForQuery.
--- a/tests/process/shutdown_test.cpp
+++ b/tests/process/shutdown_test.cpp
@@ -59,4 +59,30 @@
     }
 }
 
+// A process that did not run when the stop failed the open requests closed their connections without an
+// answer.
+TEST(Shutdown, QueriesBehindAnOpenOneAreAnsweredIfTheProcessStandsStillAtTheEnd) {
+    constexpr int kQueries = 8;
+    constexpr Micros kRequestDeadline = 3'000 * kMillisecond;
+    for (const Micros stopped_after : {880, 930, 980}) {
+        SCOPED_TRACE(std::to_string(stopped_after) + " ms after SIGTERM");
+        ProxyProcess proxy(short_deadlines());
+        proxy.open_idle_endpoint_connections();
+        proxy.endpoints_hang = true;
+        auto client = proxy.connect();
+        auto queries = integration::startup_message();
+        for (int i = 0; i < kQueries; ++i)
+            queries += integration::request_message("q" + std::to_string(i), "plain_write", kRequestDeadline);
+        client.send(queries);
+        ASSERT_TRUE(proxy.run_until([&] { return proxy.arrival_count("q0") == 1; }, kRequestDeadline));
+        proxy.signal(SIGTERM);
+        proxy.run_for(stopped_after * kMillisecond);
+        proxy.signal(SIGSTOP);
+        proxy.run_for(180 * kMillisecond);
+        proxy.signal(SIGCONT);
+        EXPECT_TRUE(proxy.run_until([&] { return proxy.has_exited(); }, kKillTimeout));
+        EXPECT_EQ(error_count(client), kQueries);
+    }
+}
+
 }  // namespace
