Answer the queries behind a streamed value that breaks off

Callers saw: pipelined reads behind a large value got no answer if its endpoint failed in the middle of it, or the end of a stop cut it off, although their answers had arrived.

Cause: the connection was closed as the only sign that the value was not whole, and the buffered answers behind it were dropped.

Change: if anything is behind the value, it is filled up with zero bytes at the client's pace and ended by an error instead of CommandComplete; then the others follow.

--- a/src/downstream/sessions/client_session.cpp
+++ b/src/downstream/sessions/client_session.cpp
@@ -279,7 +279,7 @@
 
 void ClientSession::fail_requests_and_finish(metrics::SessionEnd reason) {
     if (is_ending()) return;
-    if (responses_.is_streaming()) return finish(reason);
+    if (responses_.is_streaming() && !responses_.has_queries_behind_first()) return finish(reason);
     responses_.fail_all();
     responses_.discard_all();
     disconnect_detector_.stop();
--- a/src/downstream/sessions/client_session.h
+++ b/src/downstream/sessions/client_session.h
@@ -97,6 +97,7 @@
     void response_written() override { read_messages(); }
     void all_responses_written() override;
     void response_incomplete() override { finish(metrics::SessionEnd::response_cut); }
+    bool has_unread_input() const override { return framer_.has_partial_message(); }
     traffic::ClientPresence client_presence() override { return disconnect_detector_.client_presence(); }
 
     bool input_has_ended() const override { return input_has_ended_; }
--- a/src/downstream/sessions/response_writer.cpp
+++ b/src/downstream/sessions/response_writer.cpp
@@ -1,5 +1,8 @@
 #include "sessions/response_writer.h"
 
+#include <algorithm>
+#include <array>
+
 #include "invariant/invariant.h"
 #include "log/log.h"
 #include "pgwire/build.h"
@@ -12,6 +15,7 @@
 
 // How much of a streamed response may be buffered here before its source is paused.
 constexpr std::size_t kStreamWindowBytes = std::size_t{64} * 1024;
+constexpr std::array<char, std::size_t{64} * 1024> kZeros{};
 
 }  // namespace
 
@@ -38,15 +42,24 @@
 }
 
 void ResponseWriter::fail_all() {
-    const bool response_is_incomplete = is_streaming();
+    if (is_streaming()) fill_up(*queries_.front());
     for (auto& query : queries_) {
         auto bytes = take_buffered_response(*query);
-        if (query->request) {
+        if (query->request || query->padding) {
+            if (query->request) context_.metrics.count_response(query->request_class, ResponseKind::failed);
             cancel_request(*query);
-            context_.metrics.count_response(query->request_class, ResponseKind::failed);
             bytes = error_response(pgwire::code::kAdminShutdown, "the proxy is stopping");
         }
-        if (!response_is_incomplete) connection_->write(bytes);
+        connection_->write(bytes);
+    }
+}
+
+void ResponseWriter::fill_up(Query& query) {
+    while (query.value_bytes_left > 0) {
+        const auto size = std::min(query.value_bytes_left, kZeros.size());
+        // Without a copy: `kZeros` needs no owner.
+        connection_->write({kZeros.data(), size}, std::shared_ptr<const void>());
+        query.value_bytes_left -= size;
     }
 }
 
@@ -67,6 +80,7 @@
                                       traffic::ResponseSource& source) {
     auto bytes = value_response_head(head, size);
     query.source = &source;
+    query.value_bytes_left = size;
     if (!is_first(query)) {
         source.set_paused(true);
         return buffer_response(query, std::move(bytes));
@@ -78,6 +92,7 @@
 void ResponseWriter::on_value_chunk(Query& query, std::string_view bytes) {
     if (!SLOESTACK_INVARIANT(is_first(query), "only the first open query streams its response")) return;
     connection_->write(bytes);
+    query.value_bytes_left -= bytes.size();
     const std::size_t window = context_.account.is_exceeded() ? 0 : kStreamWindowBytes;
     if (connection_->unwritten_bytes() > window) query.source->set_paused(true);
     owner_.response_progressed();
@@ -96,7 +111,17 @@
     }
     context_.metrics.count_response(query.request_class, ResponseKind::failed);
     detach_request(query, RequestEnd::abandoned);
-    owner_.response_incomplete();
+    if (!has_queries_behind_first()) return owner_.response_incomplete();
+    query.padding = std::make_unique<ValuePadding>(query.value_bytes_left, query);
+    query.source = query.padding.get();
+    const bool must_wait = connection_->unwritten_bytes() > kStreamWindowBytes;
+    if (!must_wait) query.padding->set_paused(false);
+}
+
+void ResponseWriter::on_padding_completed(Query& query) {
+    context_.loop.delete_later(std::move(query.padding));
+    complete(query, error_response(pgwire::code::kSystemError, "the endpoint broke the response off"),
+             RequestEnd::abandoned);
 }
 
 void ResponseWriter::on_rejected(Query& query, Micros retry_after) {
--- a/src/downstream/sessions/response_writer.h
+++ b/src/downstream/sessions/response_writer.h
@@ -8,6 +8,7 @@
 
 #include "sessions/session_context.h"
 #include "sessions/statement_reader.h"
+#include "sessions/value_padding.h"
 #include "transport/connection.h"
 
 namespace sloestack::downstream {
@@ -21,9 +22,11 @@
     virtual void response_written() = 0;
     // The last open query has its response.
     virtual void all_responses_written() = 0;
-    // A response that was written in part will not be completed. The connection must be closed, which is the
-    // only sign of that for the client.
+    // A response that was written in part will not be completed, and no query is open behind it. The
+    // connection must be closed, which is the only sign of that for the client.
     virtual void response_incomplete() = 0;
+    // Returns whether the client has sent more than the open queries.
+    virtual bool has_unread_input() const = 0;
     virtual traffic::ClientPresence client_presence() = 0;
 
 protected:
@@ -50,6 +53,8 @@
     int last_request_class() const { return queries_.back()->request_class; }
     // Returns true while a response is being streamed; nothing else may be written then.
     bool is_streaming() const { return !queries_.empty() && queries_.front()->source; }
+    // Returns whether the client has sent queries after the first open one.
+    bool has_queries_behind_first() const { return queries_.size() > 1 || owner_.has_unread_input(); }
     // Resumes the source of a streamed response, once the kernel has taken what was written.
     void resume_stream() { queries_.front()->source->set_paused(false); }
     Time last_response_at() const { return last_response_at_; }
@@ -58,13 +63,13 @@
     // must not be streaming.
     void cancel_first();
     // Writes all buffered responses, and an error for each query without a response, whose request it
-    // cancels. Writes nothing if the first response is incomplete.
+    // cancels. A response that is being streamed is filled up, so that the client reads the error as its end.
     void fail_all();
     // Discards all open queries and cancels their requests.
     void discard_all();
 
 private:
-    struct Query final : traffic::ResponseSink {
+    struct Query final : traffic::ResponseSink, ValuePaddingEvents {
         Query(ResponseWriter& owner, int class_index) : writer(owner), request_class(class_index) {}
         void on_value(const traffic::ResultValue& value) override { writer.on_value(*this, value); }
         void on_value_started(const traffic::ResultValue& head, std::size_t size,
@@ -79,6 +84,8 @@
         void on_rejected(Micros retry_after) override { writer.on_rejected(*this, retry_after); }
         void on_failed() override { writer.on_failed(*this); }
         traffic::ClientPresence client_presence() override { return writer.client_presence(*this); }
+        void on_padding(std::string_view bytes) override { writer.on_value_chunk(*this, bytes); }
+        void on_padding_completed() override { writer.on_padding_completed(*this); }
 
         ResponseWriter& writer;
         traffic::RequestId request = 0;  // 0 once it has its response or is cancelled
@@ -88,6 +95,8 @@
         // The response, or the head of a streamed one, until the responses before it are written.
         std::string buffered_response;
         traffic::ResponseSource* source = nullptr;  // of a streamed response
+        std::size_t value_bytes_left = 0;           // of that response
+        std::unique_ptr<ValuePadding> padding;      // the source, once the endpoint has failed
     };
 
     // How a request has ended, which decides whether its id may be used again.
@@ -103,6 +112,7 @@
     void on_value_chunk(Query& query, std::string_view bytes);
     void on_value_completed(Query& query, const std::string& command_tag);
     void on_value_aborted(Query& query);
+    void on_padding_completed(Query& query);
     void on_rejected(Query& query, Micros retry_after);
     void on_failed(Query& query);
     traffic::ClientPresence client_presence(const Query& query);
@@ -112,6 +122,8 @@
     // otherwise buffers it.
     void complete(Query& query, std::string bytes, RequestEnd end = RequestEnd::responded);
     void continue_with_next();
+    // Writes the rest of a streamed value at once, as zero bytes.
+    void fill_up(Query& query);
     void buffer_response(Query& query, std::string bytes);
     std::string take_buffered_response(Query& query);
     // Detaches the query from its request. Returns the request's id, or 0 if it was detached before.
--- a/tests/integration/large_value_scenarios.cpp
+++ b/tests/integration/large_value_scenarios.cpp
@@ -67,6 +67,36 @@
         o expect status:200 body:"view":{"errors":1,"ok":0,"shed":0,"tries":1})");
 }
 
+constexpr const char* kThreeQueriesBehindAValue = R"(
+        a send startup read:1 read:2 write:3
+        a expect auth_ok ready
+        m1.1 expect startup
+        m1.1 send auth_ok
+        m1.1 expect query:id=1
+        m1.2 expect startup
+        m1.2 send auth_ok
+        m1.2 expect query:id=2
+        m1.2 send row:w
+        m1.1 send row_header:500000 value_bytes:90000
+        a await_bytes 90000)";
+
+// Reads that endpoints had answered got no answer behind a large value that broke off on their connection.
+TEST(LargeValue, AnswersTheQueriesBehindAValueThatBreaksOff) {
+    play({}, std::string(kThreeQueriesBehindAValue) + R"(
+        m1.1 close reset
+        a expect large:500000 error:58000 ready row:w ready
+        m1.2 expect query:id=3
+        m1.2 send row:x
+        a expect row:x ready)");
+}
+
+// The same at the end of a stop, which cuts the value off.
+TEST(LargeValue, AnswersTheQueriesBehindAValueThatAStopCutsOff) {
+    play({}, std::string(kThreeQueriesBehindAValue) + R"(
+        proxy sigterm
+        a expect large:500000 error:57P01 ready row:w ready error:53300 ready end)");
+}
+
 TEST(LargeValue, CancelsTheAttemptIfTheClientDisconnectsMidValue) {
     play({}, R"(
         a send startup read:1
